--- /dev/null
+++ b/pkg/ffconfig/service.go
@@ -0,0 +1,22 @@
+package ffconfig
+
+import "slices"
+
+// Service is a group of targets that offer the same resources.
+type Service struct {
+	// Name is the unique name of the service.
+	Name string `json:"service" yaml:"service"`
+	// Resources are the names of what the targets of the service can serve.
+	Resources []string `json:"resources" yaml:"resources"`
+	// Slots is the number of calls that one target runs at once.
+	Slots int `json:"slots" yaml:"slots"`
+	// LongSlots bounds the slots of one target that long work may hold; below Slots.
+	LongSlots int `json:"longSlots" yaml:"longSlots"`
+	// Connections is the number of connections that one target accepts.
+	Connections int `json:"connections" yaml:"connections"`
+	// QueueLength bounds the calls that wait at one target.
+	QueueLength int `json:"queueLength" yaml:"queueLength"`
+}
+
+// Offers reports whether the targets of the service serve the resource.
+func (s *Service) Offers(resource string) bool { return slices.Contains(s.Resources, resource) }
--- /dev/null
+++ b/pkg/ffconfig/snapshot.go
@@ -0,0 +1,199 @@
+package ffconfig
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Snapshot is one whole version, validated and immutable. A call uses a single
+// snapshot from start to end.
+type Snapshot struct {
+	version   Version
+	manifest  Manifest
+	contracts map[string]*Contract
+	byKeyHash map[Digest]*Contract
+	services  map[string]*Service
+	routes    []*Route
+}
+
+// NewSnapshot decodes and validates every piece of a version. It returns an
+// error, and no snapshot, when any piece is missing, corrupt, invalid or refers
+// to something that the version lacks.
+func NewSnapshot(m Manifest, v Version, content map[Digest][]byte) (*Snapshot, error) {
+	s := &Snapshot{
+		version:   v,
+		manifest:  m,
+		contracts: make(map[string]*Contract),
+		byKeyHash: make(map[Digest]*Contract),
+		services:  make(map[string]*Service),
+	}
+	for _, p := range m.Pieces {
+		if err := s.add(p, content); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortFunc(s.routes, func(a, b *Route) int {
+		return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(a.Name, b.Name))
+	})
+	if err := s.checkReferences(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Snapshot) add(p PieceRef, content map[Digest][]byte) error {
+	c, ok := content[p.Digest]
+	if !ok {
+		return &Error{Op: "apply", Kind: KindMissing, Piece: p.Name, Err: merry.New("content is missing")}
+	}
+	if err := p.Check(c); err != nil {
+		return err
+	}
+	switch p.Kind {
+	case PieceContract:
+		return s.addContract(p, c)
+	case PieceService:
+		return s.addService(p, c)
+	case PieceRoute:
+		return s.addRoute(p, c)
+	}
+	return &Error{Op: "apply", Kind: KindInvalid, Piece: p.Name, Field: "kind", Err: merry.Errorf("%d is not a piece kind", int(p.Kind))}
+}
+
+func (s *Snapshot) addContract(p PieceRef, content []byte) error {
+	c := &Contract{}
+	if err := decodePiece(p, content, c, func() (string, []Fault) { return c.Customer, c.Validate() }); err != nil {
+		return err
+	}
+	s.contracts[c.Customer] = c
+	for _, h := range c.KeyHashes {
+		if other, ok := s.byKeyHash[h]; ok {
+			return &Error{Op: "apply", Kind: KindInvalid, Piece: p.Name, Field: "keyHashes", Err: merry.Errorf("customer %s has the same key", other.Customer)}
+		}
+		s.byKeyHash[h] = c
+	}
+	return nil
+}
+
+func (s *Snapshot) addService(p PieceRef, content []byte) error {
+	v := &Service{}
+	if err := decodePiece(p, content, v, func() (string, []Fault) { return v.Name, v.Validate() }); err != nil {
+		return err
+	}
+	s.services[v.Name] = v
+	return nil
+}
+
+func (s *Snapshot) addRoute(p PieceRef, content []byte) error {
+	r := &Route{}
+	if err := decodePiece(p, content, r, func() (string, []Fault) { return r.Name, r.Validate() }); err != nil {
+		return err
+	}
+	s.routes = append(s.routes, r)
+	return nil
+}
+
+// decodePiece reads a piece strictly and checks its name and fields.
+func decodePiece(p PieceRef, content []byte, into any, validate func() (string, []Fault)) error {
+	if err := decodeStrict(content, into); err != nil {
+		return &Error{Op: "apply", Kind: KindMalformed, Piece: p.Name, Err: err}
+	}
+	name, faults := validate()
+	if len(faults) > 0 {
+		return &Error{Op: "apply", Kind: KindInvalid, Piece: p.Name, Field: faults[0].Field, Err: merry.New(faults[0].Message)}
+	}
+	if name != p.Name {
+		return &Error{Op: "apply", Kind: KindMismatch, Piece: p.Name, Field: "name", Err: merry.Errorf("the content names %q", name)}
+	}
+	return nil
+}
+
+func (s *Snapshot) checkReferences() error {
+	byMatch := make(map[[2]string]string)
+	byName := make(map[string]bool)
+	for _, r := range s.routes {
+		service, ok := s.services[r.Service]
+		if !ok {
+			return &Error{Op: "apply", Kind: KindReference, Piece: r.Name, Field: "service", Err: merry.Errorf("service %q is not in this version", r.Service)}
+		}
+		if !service.Offers(r.Resource) {
+			return &Error{Op: "apply", Kind: KindReference, Piece: r.Name, Field: "resource", Err: merry.Errorf("service %q does not offer resource %q", r.Service, r.Resource)}
+		}
+		match := [2]string{r.Method, r.Path}
+		if other, taken := byMatch[match]; taken {
+			return &Error{Op: "apply", Kind: KindInvalid, Piece: r.Name, Field: "path", Err: merry.Errorf("route %q has the same method and path", other)}
+		}
+		if r.Class == ClassLong && service.LongSlots == 0 {
+			return &Error{Op: "apply", Kind: KindReference, Piece: r.Name, Field: "class", Err: merry.Errorf("service %q has no slots for long work", r.Service)}
+		}
+		byMatch[match] = r.Name
+		byName[r.Name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.contracts)) {
+		for _, r := range s.contracts[name].Routes {
+			if !byName[r] {
+				return &Error{Op: "apply", Kind: KindReference, Piece: name, Field: "routes", Err: merry.Errorf("route %q is not in this version", r)}
+			}
+		}
+	}
+	return nil
+}
+
+// Version returns the version of the snapshot.
+func (s *Snapshot) Version() Version { return s.version }
+
+// Manifest returns the manifest of the snapshot.
+func (s *Snapshot) Manifest() Manifest { return s.manifest }
+
+// Contract returns the contract of a customer.
+func (s *Snapshot) Contract(customer string) (*Contract, bool) {
+	c, ok := s.contracts[customer]
+	return c, ok
+}
+
+// ContractByKey returns the contract that the key authenticates.
+func (s *Snapshot) ContractByKey(key string) (*Contract, bool) {
+	c, ok := s.byKeyHash[DigestOf([]byte(key))]
+	return c, ok
+}
+
+// Customers returns the names of all customers, sorted.
+func (s *Snapshot) Customers() []string { return slices.Sorted(maps.Keys(s.contracts)) }
+
+// Service returns a service by name.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	v, ok := s.services[name]
+	return v, ok
+}
+
+// Services returns the names of all services, sorted.
+func (s *Snapshot) Services() []string { return slices.Sorted(maps.Keys(s.services)) }
+
+// Routes returns all routes, the longest path first.
+func (s *Snapshot) Routes() []*Route { return slices.Clone(s.routes) }
+
+// Route returns the route that a request takes: the longest path that matches.
+func (s *Snapshot) Route(method, path string) (*Route, bool) {
+	for _, r := range s.routes {
+		if r.Matches(method, path) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// EncodePiece returns the content of a piece and the reference to it.
+func EncodePiece(kind PieceKind, name string, value any) (PieceRef, []byte, error) {
+	content, err := json.Marshal(value)
+	if err != nil {
+		return PieceRef{}, nil, &Error{Op: "encode", Kind: KindMalformed, Piece: name, Err: err}
+	}
+	if len(content) > MaxPieceBytes {
+		return PieceRef{}, nil, &Error{Op: "encode", Kind: KindTooLarge, Piece: name, Err: merry.Errorf("%d bytes, at most %d", len(content), MaxPieceBytes)}
+	}
+	return PieceRef{Kind: kind, Name: name, Digest: DigestOf(content), Size: len(content)}, content, nil
+}
--- /dev/null
+++ b/pkg/ffconfig/validate.go
@@ -0,0 +1,108 @@
+package ffconfig
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Bounds of the fields of a configuration.
+const (
+	MaxNameLength      = 63
+	MaxRatePerSecond   = 1_000_000
+	MaxConcurrency     = 1_000_000
+	MaxShare           = 1_000
+	MaxPercent         = 100
+	MaxBodyBytes       = 64 << 20
+	MaxSlots           = 10_000
+	MaxConnections     = 100_000
+	MaxQueueLength     = 100_000
+	MaxTimeoutMillis   = 3_600_000
+	maxKeysPerContract = 8
+)
+
+// Fault is one field whose value is not allowed.
+type Fault struct {
+	Field   string
+	Message string
+}
+
+// Validate returns every field of the contract whose value is not allowed.
+func (c *Contract) Validate() []Fault {
+	var f faults
+	f.name("customer", c.Customer)
+	f.between("keyHashes", int64(len(c.KeyHashes)), 1, maxKeysPerContract)
+	for _, h := range c.KeyHashes {
+		f.require("keyHashes", h.Valid(), "each must be a SHA-256 digest in hexadecimal")
+	}
+	f.between("share", int64(c.Share), 1, MaxShare)
+	f.require("ratePerSecond", c.RatePerSecond > 0 && c.RatePerSecond <= MaxRatePerSecond, "must be above 0 and at most 1000000")
+	f.between("burst", int64(c.Burst), 1, MaxRatePerSecond)
+	f.between("concurrency", int64(c.Concurrency), 1, MaxConcurrency)
+	f.between("retryPercent", int64(c.RetryPercent), 0, MaxPercent)
+	f.between("hedgePercent", int64(c.HedgePercent), 0, MaxPercent)
+	f.between("maxBodyBytes", c.MaxBodyBytes, 0, MaxBodyBytes)
+	f.between("maxConnections", int64(c.MaxConnections), 1, MaxConnections)
+	f.names("routes", c.Routes)
+	return f
+}
+
+// Validate returns every field of the service whose value is not allowed.
+func (s *Service) Validate() []Fault {
+	var f faults
+	f.name("service", s.Name)
+	f.names("resources", s.Resources)
+	f.between("slots", int64(s.Slots), 1, MaxSlots)
+	f.between("longSlots", int64(s.LongSlots), 0, int64(max(s.Slots-1, 0)))
+	f.between("connections", int64(s.Connections), 1, MaxConnections)
+	f.between("queueLength", int64(s.QueueLength), 1, MaxQueueLength)
+	return f
+}
+
+var methods = []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
+
+// Validate returns every field of the route whose value is not allowed.
+func (r *Route) Validate() []Fault {
+	var f faults
+	f.name("route", r.Name)
+	f.require("method", slices.Contains(methods, r.Method), "must be one of "+strings.Join(methods, ", "))
+	f.require("path", strings.HasPrefix(r.Path, "/") && !strings.ContainsAny(r.Path, "?# "), "must start with / and hold no ?, # or space")
+	f.require("path", !strings.HasPrefix(r.Path, "/v1/"), "must not start with /v1/, which the daemon serves itself")
+	f.name("service", r.Service)
+	f.name("resource", r.Resource)
+	f.between("timeoutMillis", r.TimeoutMillis, 1, MaxTimeoutMillis)
+	return f
+}
+
+type faults []Fault
+
+func (f *faults) require(field string, ok bool, message string) {
+	if !ok {
+		*f = append(*f, Fault{Field: field, Message: message})
+	}
+}
+
+func (f *faults) between(field string, n, low, high int64) {
+	f.require(field, n >= low && n <= high, merry.Errorf("is %d, allowed are %d to %d", n, low, high).Error())
+}
+
+func (f *faults) name(field, name string) {
+	f.require(field, validName(name), merry.Errorf("%q is not a name: 1 to 63 lower-case letters, digits or hyphens", name).Error())
+}
+
+func (f *faults) names(field string, names []string) {
+	f.require(field, len(names) > 0, "must name at least one")
+	for i, n := range names {
+		f.name(field, n)
+		f.require(field, !slices.Contains(names[:i], n), "names "+n+" twice")
+	}
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > MaxNameLength || name[0] == '-' {
+		return false
+	}
+	return strings.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789-") == ""
+}
