--- a/internal/ffcall/call.go
+++ b/internal/ffcall/call.go
@@ -37,6 +37,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// NextToken serves for the customer's next call of a route that is not idempotent.
+	NextToken string
 	// Load is what the daemon beside the target knew when it answered.
 	Load Load
 }
--- a/internal/ffmember/vm.go
+++ b/internal/ffmember/vm.go
@@ -42,6 +42,8 @@
 	PeerAddress string `json:"peerAddress"`
 	// ForwardAddress is the IP address and port where the daemon takes calls from other daemons.
 	ForwardAddress string `json:"forwardAddress"`
+	// OperatorAddress is the IP address and port where the daemon serves operators.
+	OperatorAddress string `json:"operatorAddress"`
 	// State is what the platform says of the VM.
 	State State `json:"state"`
 }
--- a/pkg/ffconfig/snapshot.go
+++ b/pkg/ffconfig/snapshot.go
@@ -186,6 +186,15 @@
 	return nil, false
 }
 
+// RouteByName returns a route by name.
+func (s *Snapshot) RouteByName(name string) (*Route, bool) {
+	i := slices.IndexFunc(s.routes, func(r *Route) bool { return r.Name == name })
+	if i < 0 {
+		return nil, false
+	}
+	return s.routes[i], true
+}
+
 // EncodePiece returns the content of a piece and the reference to it.
 func EncodePiece(kind PieceKind, name string, value any) (PieceRef, []byte, error) {
 	content, err := json.Marshal(value)
