--- /dev/null
+++ b/internal/ffcommand/doc.go
@@ -0,0 +1,2 @@
+// Package ffcommand holds the commands of the program fireflyfall, one in each file.
+package ffcommand
--- /dev/null
+++ b/internal/ffcommand/error.go
@@ -0,0 +1,29 @@
+package ffcommand
+
+import "fmt"
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind tells what sort of failure an Error reports.
+type Kind int
+
+// Kinds of failure.
+const (
+	KindUnknown Kind = iota // unknown
+	KindUsage               // usage
+	KindFault               // fault
+	KindFailed              // failed
+)
+
+// Error is the failure of a command.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the command and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/pkg/ffdeclaration/document.go
@@ -0,0 +1,176 @@
+package ffdeclaration
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+// document is one declaration file while it is read.
+type document struct {
+	file   string
+	faults Faults
+	// values are the nodes of the fields that the file declares.
+	values map[string]ast.Node
+	// faulty are the fields that already have a fault.
+	faulty map[string]bool
+}
+
+// decode reads content into the struct that into points to, by the yaml tags of
+// its fields. It reports whether content is a mapping at all.
+func (d *document) decode(content []byte, into any) bool {
+	root, ok := d.parse(content)
+	if !ok {
+		return false
+	}
+	target := reflect.ValueOf(into).Elem()
+	names := fieldNames(target.Type())
+	d.collect(root, names)
+	for i, name := range names {
+		d.set(name, target.Field(i))
+	}
+	return true
+}
+
+// parse returns the single mapping that a declaration must be.
+func (d *document) parse(content []byte) (*ast.MappingNode, bool) {
+	file, err := parser.ParseBytes(content, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		d.addError("", err)
+		return nil, false
+	}
+	var bodies []ast.Node
+	for _, doc := range file.Docs {
+		if doc.Body != nil && doc.Body.Type() != ast.CommentType {
+			bodies = append(bodies, doc.Body)
+		}
+	}
+	if len(bodies) == 0 {
+		d.add(1, "", "is empty; a declaration is one YAML mapping")
+		return nil, false
+	}
+	if len(bodies) > 1 {
+		d.add(lineOf(bodies[1]), "", "holds a second document; one file holds one declaration")
+		return nil, false
+	}
+	root, ok := bodies[0].(*ast.MappingNode)
+	if !ok {
+		d.add(lineOf(bodies[0]), "", "is not a mapping of fields to values")
+	}
+	return root, ok
+}
+
+// collect notes the node of each field, and faults for unknown and duplicate ones.
+func (d *document) collect(root *ast.MappingNode, names []string) {
+	d.values = make(map[string]ast.Node, len(names))
+	for _, v := range root.Values {
+		name, line := keyName(v.Key), lineOf(v.Key)
+		switch {
+		case !slices.Contains(names, name):
+			d.add(line, name, "is not a field; allowed are "+strings.Join(names, ", "))
+		case d.values[name] != nil:
+			d.add(line, name, fmt.Sprintf("is declared twice, first in line %d", d.line(name)))
+		default:
+			d.values[name] = v.Value
+		}
+	}
+}
+
+// keyName returns the text of a key, without quotes.
+func keyName(key ast.MapKeyNode) string {
+	if s, ok := key.(*ast.StringNode); ok {
+		return s.Value
+	}
+	return key.String()
+}
+
+// set decodes the node of a field into target.
+func (d *document) set(name string, target reflect.Value) {
+	node, ok := d.values[name]
+	if !ok {
+		d.add(1, name, "is missing; every field is written out")
+		return
+	}
+	if want, ok := fits(node, target.Type()); !ok {
+		d.add(lineOf(node), name, "must be "+want)
+		return
+	}
+	if err := yaml.NodeToValue(node, target.Addr().Interface(), yaml.Strict()); err != nil {
+		d.addError(name, err)
+	}
+}
+
+// validate adds a fault for each value that is out of range.
+func (d *document) validate(faults []ffconfig.Fault) {
+	for _, f := range faults {
+		if !d.faulty[f.Field] {
+			d.add(d.line(f.Field), f.Field, f.Message)
+		}
+	}
+}
+
+// line returns the line of a field, or the first when the file lacks it.
+func (d *document) line(field string) int {
+	if node, ok := d.values[field]; ok {
+		return lineOf(node)
+	}
+	return 1
+}
+
+// itemLine returns the line of one item of a list.
+func (d *document) itemLine(field string, i int) int {
+	if list, ok := d.values[field].(*ast.SequenceNode); ok && i < len(list.Values) {
+		return lineOf(list.Values[i])
+	}
+	return d.line(field)
+}
+
+func (d *document) add(line int, field, message string) {
+	d.faults = append(d.faults, Fault{File: d.file, Line: line, Field: field, Message: message})
+	if d.faulty == nil {
+		d.faulty = make(map[string]bool)
+	}
+	d.faulty[field] = true
+}
+
+// addError adds a fault at the position that a YAML error carries.
+func (d *document) addError(field string, err error) {
+	var y yaml.Error
+	if !errors.As(err, &y) {
+		d.add(d.line(field), field, err.Error())
+		return
+	}
+	line := d.line(field)
+	if t := y.GetToken(); t != nil {
+		line = t.Position.Line
+	}
+	d.add(line, field, y.GetMessage())
+}
+
+// lineOf returns the line on which a node starts.
+func lineOf(node ast.Node) int {
+	if m, ok := node.(*ast.MappingNode); ok && len(m.Values) > 0 {
+		return lineOf(m.Values[0].Key)
+	}
+	if t := node.GetToken(); t != nil {
+		return t.Position.Line
+	}
+	return 1
+}
+
+// fieldNames returns the names of the fields of a declaration, in order.
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		names = append(names, t.Field(i).Tag.Get("yaml"))
+	}
+	return names
+}
--- /dev/null
+++ b/pkg/ffdeclaration/error.go
@@ -0,0 +1,34 @@
+package ffdeclaration
+
+import "fmt"
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind tells what sort of failure an Error reports.
+type Kind int
+
+// Kinds of failure.
+const (
+	KindUnknown Kind = iota // unknown
+	KindFault               // fault
+	KindRead                // read
+	KindWrite               // write
+	KindBundle              // bundle
+	KindName                // name
+)
+
+// Error is a failure to read, build, write or explain declarations.
+type Error struct {
+	Op   string
+	Kind Kind
+	// Err is of type Faults when the kind is fault.
+	Err error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("ffdeclaration: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
