Spread versions from the platform to every daemon: thin path

Cause: nothing yet brings a published version into the daemons.

Store holds the version in force behind an atomic pointer and swaps only to a newer, whole one. Readers of each data centre (rendezvous hash) watch the platform; versions go down a tree of fan-out 8 keyed by the version, store and forward; anti-entropy about each second repairs the rest. A daemon is ready only after platform or ready peers have answered and the greatest version heard of is in force. ffpeer carries it over drpc with bounded connections.

Weighed: dgryski/go-rendezvous is left out, because it gives only the first choice (readers and tree need an order) and its Remove indexes past the end; xxhash alone does the weights. A token bucket of ceiling / fleet for each daemon (0.38 calls a second at 5,200) cannot hold a watch, which counts as a call a second, and idle buckets of burst 1 would let 5,200 calls through at once. So a small part of the fleet, favoured by name alone, has most of the rate, and each other daemon one slot in a period at a random phase.

Tests: 60 daemons in 3 data centres over a fake network have each of four versions in force within 5 s of the bubble's time; ffpeer on loopback reuses connections, replaces a silent one and stays within its bound.

--- /dev/null
+++ b/internal/ffdistribution/evidence.go
@@ -0,0 +1,127 @@
+package ffdistribution
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
+)
+
+const (
+	// liveLife is how long a daemon's word that it is live counts.
+	liveLife = 2 * time.Minute
+	// leaveLife is how long a daemon's word that it leaves counts, longer than the list lags.
+	leaveLife = 8 * time.Minute
+	// foreignTold is the number of daemons of each other data centre that hear of a leave at once.
+	foreignTold = 2
+)
+
+// ownState is what this daemon says of its own VM.
+type ownState struct {
+	mu    sync.Mutex
+	state ffmember.State
+}
+
+// State returns what this daemon says of its own VM.
+func (n *Node) State() ffmember.State {
+	n.own.mu.Lock()
+	defer n.own.mu.Unlock()
+	return n.own.state
+}
+
+// Leave tells every daemon that this VM takes no new work.
+func (n *Node) Leave(ctx context.Context) { n.declare(ctx, ffmember.StateLeaving) }
+
+// Gone tells every daemon that this VM has finished.
+func (n *Node) Gone(ctx context.Context) { n.declare(ctx, ffmember.StateGone) }
+
+func (n *Node) declare(ctx context.Context, state ffmember.State) {
+	n.once.Do(n.init)
+	n.own.mu.Lock()
+	n.own.state = max(n.own.state, state)
+	n.own.mu.Unlock()
+	evidence := n.ownEvidence(time.Now())
+	n.Members.Learn(time.Now(), evidence)
+	n.rumours.add([]ffmember.Evidence{evidence})
+	told := []ffmember.Evidence{evidence}
+	n.announce(ctx, news{foreign: true, evidence: told})
+	n.tell(ctx, n.foreignSample(foreignTold), told)
+}
+
+// ownEvidence returns what this daemon says of its own VM at now.
+func (n *Node) ownEvidence(now time.Time) ffmember.Evidence {
+	life := liveLife
+	state := n.State()
+	if state != ffmember.StateLive {
+		life = leaveLife
+	}
+	return ffmember.Evidence{
+		VM:          n.Self,
+		Incarnation: n.Incarnation,
+		State:       state,
+		Expires:     now.Add(life).Truncate(time.Millisecond),
+	}
+}
+
+// renew keeps this daemon's word alive while the list does not show it.
+func (n *Node) renew(now time.Time) {
+	view := n.Members.View()
+	known, ok := view.EvidenceOf(n.Self.Name)
+	if ok && known.Expires.Sub(now) > liveLife/2 {
+		return
+	}
+	evidence := n.ownEvidence(now)
+	n.Members.Learn(now, evidence)
+	if listed, ok := view.List().VM(n.Self.Name); !ok || listed.State != ffmember.StateLive || !known.Expires.After(now) {
+		n.rumours.add([]ffmember.Evidence{evidence})
+	}
+}
+
+// learnEvidence merges evidence and passes on what was new.
+func (n *Node) learnEvidence(all []ffmember.Evidence, foreign bool) {
+	fresh := n.Members.Learn(time.Now(), all...)
+	if len(fresh) == 0 {
+		return
+	}
+	n.rumours.add(fresh)
+	var leaving []ffmember.Evidence
+	for _, e := range fresh {
+		if e.State != ffmember.StateLive {
+			leaving = append(leaving, e)
+		}
+	}
+	if len(leaving) > 0 {
+		offer(n.news, news{foreign: foreign, evidence: leaving})
+	}
+}
+
+// reply returns the evidence for the answer to an exchange: what travels, and a
+// sample of the rest when the two sides differ.
+func (n *Node) reply(from *ffprotocol.Summary) []*ffprotocol.Evidence {
+	view := n.Members.View()
+	if from.GetEvidenceDigest() == view.EvidenceDigest() {
+		return nil
+	}
+	out := n.rumours.take()
+	all := view.Evidence()
+	if len(all) > 0 {
+		start := n.IntN(len(all))
+		for i := range min(len(all), evidencePerMessage-len(out)) {
+			out = append(out, all[(start+i)%len(all)])
+		}
+	}
+	return evidenceOut(out)
+}
+
+// foreignSample returns count random VMs of each other data centre.
+func (n *Node) foreignSample(count int) []ffmember.VM {
+	var sample []ffmember.VM
+	for _, d := range n.Members.View().DataCentres() {
+		if d != n.Self.DataCentre {
+			sample = append(sample, n.pick(n.reachable(d), count)...)
+		}
+	}
+	return sample
+}
--- /dev/null
+++ b/internal/ffdistribution/fake_test.go
@@ -0,0 +1,265 @@
+package ffdistribution_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fireflyfall.dev/fireflyfall/internal/ffdistribution"
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+var errFault = errors.New("injected fault")
+
+// release is one version as an operator publishes it.
+type release struct {
+	version  ffconfig.Version
+	manifest []byte
+	pieces   map[ffconfig.Digest][]byte
+}
+
+// newRelease returns a version whose pieces all name its number and variant; a
+// faulty one has a route to a service that it lacks.
+func newRelease(number uint64, variant string, faulty bool) release {
+	service := ffconfig.Service{Name: fmt.Sprintf("desk-%d-%s", number, variant), Resources: []string{"trolleys"}, Slots: 2, LongSlots: 1, Connections: 4, QueueLength: 8}
+	route := ffconfig.Route{Name: "book", Method: "POST", Path: "/book", Service: service.Name, Resource: "trolleys", TimeoutMillis: 1000}
+	if faulty {
+		route.Service = "absent"
+	}
+	common := ffconfig.Route{Name: "look", Method: "GET", Path: "/look", Service: service.Name, Resource: "trolleys", TimeoutMillis: 1000}
+	r := release{pieces: make(map[ffconfig.Digest][]byte)}
+	m := ffconfig.Manifest{Number: number}
+	add := func(kind ffconfig.PieceKind, name string, value any) {
+		ref, content, err := ffconfig.EncodePiece(kind, name, value)
+		if err != nil {
+			panic(err)
+		}
+		m.Pieces = append(m.Pieces, ref)
+		r.pieces[ref.Digest] = content
+	}
+	add(ffconfig.PieceService, service.Name, service)
+	add(ffconfig.PieceRoute, route.Name, route)
+	add(ffconfig.PieceRoute, common.Name, common)
+	var err error
+	if r.manifest, err = m.Encode(); err != nil {
+		panic(err)
+	}
+	r.version = ffconfig.Version{Number: number, Digest: ffconfig.DigestOf(r.manifest)}
+	return r
+}
+
+// platform is a fake platform: a manifest, pieces and a list of VMs, with faults.
+type platform struct {
+	mu       sync.Mutex
+	revision uint64
+	current  release
+	pieces   map[ffconfig.Digest][]byte
+	list     ffdistribution.VMList
+	changed  chan struct{}
+	down     bool
+	// damaged is the digest of a piece that is served damaged.
+	damaged map[ffconfig.Digest]bool
+	reads   int
+}
+
+func newPlatform(vms []ffmember.VM) *platform {
+	return &platform{
+		pieces:  make(map[ffconfig.Digest][]byte),
+		damaged: make(map[ffconfig.Digest]bool),
+		list:    ffdistribution.VMList{Revision: 1, VMs: vms},
+		changed: make(chan struct{}),
+	}
+}
+
+func (p *platform) update(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// serve shows a release as the current one; all pieces ever published stay.
+func (p *platform) serve(r release) {
+	p.update(func() {
+		p.revision++
+		p.current = r
+		maps.Copy(p.pieces, r.pieces)
+	})
+}
+
+func (p *platform) setDown(down bool) { p.update(func() { p.down = down }) }
+
+func (p *platform) Manifest(context.Context) (ffdistribution.Value, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	if p.down {
+		return ffdistribution.Value{}, errFault
+	}
+	if p.revision == 0 {
+		return ffdistribution.Value{}, &ffdistribution.Error{Kind: ffdistribution.KindMissing, Err: errFault}
+	}
+	return ffdistribution.Value{Revision: p.revision, Content: p.current.manifest}, nil
+}
+
+func (p *platform) WatchManifest(ctx context.Context, after uint64, until time.Time) (ffdistribution.Value, error) {
+	for {
+		v, err := p.Manifest(ctx)
+		if err != nil || v.Revision != after {
+			return v, err
+		}
+		if !p.await(ctx, until) {
+			return ffdistribution.Value{Revision: after}, nil
+		}
+	}
+}
+
+// await waits for a change and reports whether one came in time.
+func (p *platform) await(ctx context.Context, until time.Time) bool {
+	p.mu.Lock()
+	changed := p.changed
+	p.mu.Unlock()
+	select {
+	case <-changed:
+		return true
+	case <-time.After(time.Until(until)):
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (p *platform) Piece(_ context.Context, d ffconfig.Digest) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	content, ok := p.pieces[d]
+	if p.down || !ok {
+		return nil, errFault
+	}
+	if p.damaged[d] {
+		return append([]byte("damaged"), content...), nil
+	}
+	return content, nil
+}
+
+func (p *platform) VMs(context.Context) (ffdistribution.VMList, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return ffdistribution.VMList{}, errFault
+	}
+	return p.list, nil
+}
+
+func (p *platform) WatchVMs(ctx context.Context, after uint64, until time.Time) (ffdistribution.VMList, error) {
+	for {
+		l, err := p.VMs(ctx)
+		if err != nil || l.Revision != after {
+			return l, err
+		}
+		if !p.await(ctx, until) {
+			return ffdistribution.VMList{Revision: after}, nil
+		}
+	}
+}
+
+// network carries messages between nodes, with losses, duplicates and delays.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*ffdistribution.Node
+	// blocked holds pairs (from, to) whose messages hang; an empty name stands for all.
+	blocked map[[2]string]bool
+	random  *rand.Rand
+	// lossPercent, duplicatePercent and maxDelay shape every message.
+	lossPercent, duplicatePercent int
+	maxDelay                      time.Duration
+	// damage changes pieces on the way.
+	damage bool
+}
+
+func (n *network) set(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
+func (n *network) percent(p int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.random.IntN(100) < p
+}
+
+func (n *network) route(from, to string) (*ffdistribution.Node, time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	hangs := n.blocked[[2]string{from, to}] || n.blocked[[2]string{from, ""}] || n.blocked[[2]string{"", to}]
+	return n.nodes[to], time.Duration(n.random.Int64N(int64(n.maxDelay) + 1)), hangs
+}
+
+// link is the network as one node sees it.
+type link struct {
+	*network
+	from string
+}
+
+// deliver carries one message there and the answer back.
+func deliver[In, Out proto.Message](ctx context.Context, l link, to string, in In, handle func(*ffdistribution.Node, context.Context, In) (Out, error)) (Out, error) {
+	var none Out
+	node, delay, hangs := l.route(l.from, to)
+	if hangs || l.percent(l.lossPercent) {
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	if node == nil {
+		return none, errFault
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	if l.percent(l.duplicatePercent) {
+		_, _ = handle(node, ctx, proto.Clone(in).(In))
+	}
+	out, err := handle(node, ctx, proto.Clone(in).(In))
+	if err != nil {
+		return none, err
+	}
+	if _, _, hangs = l.route(to, l.from); hangs || l.percent(l.lossPercent) {
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	return proto.Clone(out).(Out), nil
+}
+
+func (l link) Exchange(ctx context.Context, to string, in *ffprotocol.ExchangeRequest) (*ffprotocol.ExchangeResponse, error) {
+	return deliver(ctx, l, to, in, (*ffdistribution.Node).Exchange)
+}
+
+func (l link) Manifest(ctx context.Context, to string, in *ffprotocol.ManifestRequest) (*ffprotocol.ManifestResponse, error) {
+	return deliver(ctx, l, to, in, (*ffdistribution.Node).Manifest)
+}
+
+func (l link) Pieces(ctx context.Context, to string, in *ffprotocol.PiecesRequest) (*ffprotocol.PiecesResponse, error) {
+	out, err := deliver(ctx, l, to, in, (*ffdistribution.Node).Pieces)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil && l.damage && l.random.IntN(2) == 0 {
+		for _, p := range out.GetPieces() {
+			p.Content = append([]byte("damaged"), p.GetContent()...)
+		}
+	}
+	return out, err
+}
+
+func (l link) List(ctx context.Context, to string, in *ffprotocol.ListRequest) (*ffprotocol.ListResponse, error) {
+	return deliver(ctx, l, to, in, (*ffdistribution.Node).List)
+}
--- /dev/null
+++ b/internal/ffdistribution/fleet_test.go
@@ -0,0 +1,176 @@
+package ffdistribution_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffdistribution"
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+// fleet is many daemons over a fake network and a fake platform, in a synctest bubble.
+type fleet struct {
+	platform *platform
+	network  *network
+	vms      []ffmember.VM
+	running  map[string]*running
+	starts   uint64
+
+	mu     sync.Mutex
+	faults []string
+}
+
+// running is one run of a daemon.
+type running struct {
+	node     *ffdistribution.Node
+	platform *platform
+	cancel   context.CancelFunc
+	done     chan struct{}
+	mu       sync.Mutex
+	applied  []ffconfig.Version
+}
+
+func newFleet(dataCentres, each int) *fleet {
+	f := &fleet{running: make(map[string]*running)}
+	for d := range dataCentres {
+		for i := range each {
+			name := fmt.Sprintf("vm-%d-%d", d, i)
+			f.vms = append(f.vms, ffmember.VM{Name: name, DataCentre: fmt.Sprintf("dc-%d", d), Service: "desk", PeerAddress: name})
+		}
+	}
+	f.platform = newPlatform(f.vms)
+	f.network = &network{
+		nodes:    make(map[string]*ffdistribution.Node),
+		blocked:  make(map[[2]string]bool),
+		random:   rand.New(rand.NewPCG(1, 2)),
+		maxDelay: 20 * time.Millisecond,
+	}
+	return f
+}
+
+func (f *fleet) startAll() {
+	for _, vm := range f.vms {
+		f.start(vm, f.platform)
+	}
+}
+
+// start runs a daemon with nothing in its memory.
+func (f *fleet) start(vm ffmember.VM, p *platform) *running {
+	f.stop(vm)
+	f.starts++
+	r := &running{platform: p, done: make(chan struct{})}
+	store := &ffdistribution.Store{OnApply: func(old, applied *ffconfig.Snapshot) { f.onApply(r, old, applied) }}
+	r.node = &ffdistribution.Node{
+		Self:        vm,
+		Incarnation: ffmember.NewIncarnation(time.Now(), f.starts),
+		Store:       store,
+		Members:     &ffdistribution.Members{},
+		Budget:      &ffdistribution.Budget{Name: vm.Name, FleetSize: len(f.vms)},
+		Peers:       link{network: f.network, from: vm.Name},
+		Platform:    p,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	f.network.set(func() { f.network.nodes[vm.Name] = r.node })
+	f.running[vm.Name] = r
+	go r.run(ctx)
+	return r
+}
+
+func (r *running) run(ctx context.Context) {
+	defer close(r.done)
+	_ = r.node.Run(ctx)
+}
+
+// stop kills a daemon without a word to anybody.
+func (f *fleet) stop(vm ffmember.VM) {
+	r, ok := f.running[vm.Name]
+	if !ok {
+		return
+	}
+	f.network.set(func() { delete(f.network.nodes, vm.Name) })
+	r.cancel()
+	<-r.done
+	delete(f.running, vm.Name)
+}
+
+func (f *fleet) stopAll() {
+	for _, vm := range f.vms {
+		f.stop(vm)
+	}
+}
+
+// onApply checks what must hold of each change of the version in force.
+func (f *fleet) onApply(r *running, old, applied *ffconfig.Snapshot) {
+	if old != nil && !applied.Version().NewerThan(old.Version()) {
+		f.fault("went from %v to %v", old.Version(), applied.Version())
+	}
+	service := applied.Services()[0]
+	for _, route := range applied.Routes() {
+		if route.Service != service {
+			f.fault("%v mixes pieces: route %s goes to %s", applied.Version(), route.Name, route.Service)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applied = append(r.applied, applied.Version())
+}
+
+func (f *fleet) fault(format string, values ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = append(f.faults, fmt.Sprintf(format, values...))
+}
+
+// behind returns the daemons that are not ready with this version in force.
+func (f *fleet) behind(want ffconfig.Version) []string {
+	var behind []string
+	for _, vm := range f.vms {
+		r, ok := f.running[vm.Name]
+		if !ok {
+			continue
+		}
+		if got := r.node.Store.Version(); got != want || !r.node.Ready() {
+			behind = append(behind, fmt.Sprintf("%s has %v, ready %v", vm.Name, got, r.node.Ready()))
+		}
+	}
+	return behind
+}
+
+// advance lets the time of the bubble pass.
+func advance(d time.Duration) { <-time.After(d) }
+
+// requireInForce fails the test unless every daemon has the version in force within the time given.
+func (f *fleet) requireInForce(t *testing.T, want ffconfig.Version, within time.Duration) {
+	t.Helper()
+	advance(within)
+	if behind := f.behind(want); len(behind) > 0 {
+		t.Errorf("%v is not in force after %v at %v", want, within, behind)
+	}
+	f.requireNoFault(t)
+}
+
+func (f *fleet) requireNoFault(t *testing.T) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fault := range f.faults {
+		t.Error(fault)
+	}
+}
+
+// inFleet runs a test over a fleet with its own time.
+func inFleet(t *testing.T, dataCentres, each int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(dataCentres, each)
+		defer f.stopAll()
+		test(t, f)
+	})
+}
--- /dev/null
+++ b/internal/ffdistribution/reader.go
@@ -0,0 +1,173 @@
+package ffdistribution
+
+import (
+	"context"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffplacement"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+const (
+	// watchTime is how long one watch of the platform waits.
+	watchTime = 10 * time.Second
+	// roleInterval is the time after which a daemon looks again whether it reads the platform.
+	roleInterval = 500 * time.Millisecond
+	// corruptAttempts is the number of times that a damaged piece is read from the platform.
+	corruptAttempts = 3
+	// listBytesPerSecond bounds what the reading of the list costs one daemon.
+	listBytesPerSecond = 8 << 10
+	// vmBytes is the usual size of one VM in the platform's list, in bytes.
+	vmBytes = 200
+)
+
+// role tells which of the platform's values this daemon reads.
+type role struct {
+	manifest, list bool
+}
+
+// role works out whether this daemon is among the readers of its data centre, by its own view.
+func (n *Node) role() role {
+	readers := n.readers(n.reachable(n.Self.DataCentre), ffplacement.ReaderCount)
+	for i, vm := range readers {
+		if vm.Name == n.Self.Name {
+			return role{manifest: true, list: i == 0}
+		}
+	}
+	return role{manifest: len(readers) == 0, list: len(readers) == 0}
+}
+
+// runManifestWatch watches the platform's manifest while this daemon is a reader.
+func (n *Node) runManifestWatch(ctx context.Context) error {
+	r := manifestReader{n: n, wait: newBackoff()}
+	for ctx.Err() == nil {
+		if !n.learnt.Load() || !n.role().manifest {
+			_ = waitUntil(ctx, time.Now().Add(roleInterval))
+			continue
+		}
+		if err := r.step(ctx); err != nil {
+			n.Log.Debug().Err(err).Msg("manifest not read")
+			_ = waitUntil(ctx, time.Now().Add(r.wait.NextBackOff()))
+			continue
+		}
+		r.wait.Reset()
+	}
+	return nil
+}
+
+type backOff interface {
+	NextBackOff() time.Duration
+	Reset()
+}
+
+// manifestReader follows the platform's manifest.
+type manifestReader struct {
+	n        *Node
+	wait     backOff
+	revision uint64
+	// corrupt counts the attempts at the version that came damaged.
+	corrupt int
+	version ffconfig.Version
+}
+
+// step waits for one change and brings it into force.
+func (r *manifestReader) step(ctx context.Context) error {
+	value, err := r.next(ctx)
+	if err != nil {
+		return err
+	}
+	if value.Revision == r.revision {
+		return nil
+	}
+	if err := r.n.acceptManifest(ctx, value.Content, r); err != nil {
+		return err
+	}
+	r.revision = value.Revision
+	return nil
+}
+
+func (r *manifestReader) next(ctx context.Context) (Value, error) {
+	r.n.counts.platformCalls.Add(1)
+	if r.n.Budget.MayWatch() {
+		return r.n.Platform.WatchManifest(ctx, r.revision, time.Now().Add(watchTime))
+	}
+	return r.n.Platform.Manifest(ctx)
+}
+
+// acceptManifest brings a manifest of the platform into force if it is newer.
+func (n *Node) acceptManifest(ctx context.Context, content []byte, r *manifestReader) error {
+	_, v, err := ffconfig.DecodeManifest(content)
+	if err != nil {
+		n.Store.RefuseFromPlatform(ffconfig.Version{Digest: ffconfig.DigestOf(content)}, err)
+		return nil
+	}
+	n.Store.Observe(v)
+	if !n.Store.WantsFromPlatform(v) {
+		return nil
+	}
+	err = n.complete(ctx, content, origin{foreign: true})
+	if KindOf(err) == KindRefused {
+		return nil
+	}
+	if KindOf(err) == KindCorrupt && r.giveUp(v) {
+		n.Store.RefuseFromPlatform(v, err)
+		return nil
+	}
+	return err
+}
+
+// giveUp counts a damaged reading of v and reports whether it was the last attempt.
+func (r *manifestReader) giveUp(v ffconfig.Version) bool {
+	if r.version != v {
+		r.version, r.corrupt = v, 0
+	}
+	r.corrupt++
+	return r.corrupt >= corruptAttempts
+}
+
+// runListWatch watches the platform's list of VMs while this daemon is its reader.
+func (n *Node) runListWatch(ctx context.Context) error {
+	wait := newBackoff()
+	for ctx.Err() == nil {
+		if !n.learnt.Load() || !n.role().list {
+			_ = waitUntil(ctx, time.Now().Add(roleInterval))
+			continue
+		}
+		pause, err := n.watchList(ctx)
+		if err != nil {
+			n.Log.Debug().Err(err).Msg("VM list not read")
+			pause = wait.NextBackOff()
+		} else {
+			wait.Reset()
+		}
+		_ = waitUntil(ctx, time.Now().Add(pause))
+	}
+	return nil
+}
+
+// watchList waits for one change of the list and returns how long to leave the
+// platform alone, so that a long list does not cost more than its bytes a second.
+func (n *Node) watchList(ctx context.Context) (time.Duration, error) {
+	n.counts.platformCalls.Add(1)
+	revision := n.Members.View().List().Revision()
+	read := n.Platform.VMs
+	if n.Budget.MayWatch() {
+		read = func(ctx context.Context) (VMList, error) {
+			return n.Platform.WatchVMs(ctx, revision, time.Now().Add(watchTime))
+		}
+	}
+	list, err := read(ctx)
+	if err != nil || list.Revision == revision {
+		return 0, err
+	}
+	n.acceptList(ffmember.NewList(list.Revision, list.VMs), true)
+	return time.Duration(len(list.VMs)*vmBytes) * time.Second / listBytesPerSecond, nil
+}
+
+// acceptList takes a list that is newer and passes it on.
+func (n *Node) acceptList(list *ffmember.List, foreign bool) {
+	if n.Members.ApplyList(list) {
+		offer(n.news, news{foreign: foreign})
+	}
+}
--- /dev/null
+++ b/internal/ffdistribution/store.go
@@ -0,0 +1,258 @@
+package ffdistribution
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffaudit"
+	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+const (
+	// maxRefused bounds the refused versions that a store remembers.
+	maxRefused = 64
+	// MaxVersionBytes bounds the pieces of one version, in bytes.
+	MaxVersionBytes = 24 << 20
+)
+
+// Auditor keeps the trail of changes.
+type Auditor interface {
+	Record(ffaudit.Event)
+}
+
+// Store holds the version in force. It never goes back: a version replaces only
+// an older one, whole. The zero value holds none.
+type Store struct {
+	// Audit receives what was applied and refused; nothing when nil.
+	Audit Auditor
+	// OnApply is called after each change, in order, with the old snapshot (nil
+	// for the first) and the new one; it must not block.
+	OnApply func(old, applied *ffconfig.Snapshot)
+
+	mu        sync.Mutex
+	inForce   atomic.Pointer[inForce]
+	refused   []refusal
+	conflicts []ffconfig.Version
+	counts    counts
+}
+
+// refusal is a version that is not tried again. One that is not final failed
+// only on the way from the platform and may still come from a peer that has it whole.
+type refusal struct {
+	version ffconfig.Version
+	final   bool
+}
+
+// inForce is the version in force with all that peers may ask for.
+type inForce struct {
+	snapshot *ffconfig.Snapshot
+	manifest []byte
+	pieces   map[ffconfig.Digest][]byte
+	history  history
+}
+
+// Snapshot returns the version in force; nil when there is none.
+func (s *Store) Snapshot() *ffconfig.Snapshot {
+	f := s.inForce.Load()
+	if f == nil {
+		return nil
+	}
+	return f.snapshot
+}
+
+// Version returns the version in force; zero when there is none.
+func (s *Store) Version() ffconfig.Version {
+	f := s.inForce.Load()
+	if f == nil {
+		return ffconfig.Version{}
+	}
+	return f.snapshot.Version()
+}
+
+// Wants reports whether v would replace the version in force and was not refused for its content.
+func (s *Store) Wants(v ffconfig.Version) bool {
+	return v.NewerThan(s.Version()) && !s.isRefused(v, true)
+}
+
+// WantsFromPlatform reports whether Wants holds and the platform did not serve v damaged.
+func (s *Store) WantsFromPlatform(v ffconfig.Version) bool {
+	return v.NewerThan(s.Version()) && !s.isRefused(v, false)
+}
+
+func (s *Store) isRefused(v ffconfig.Version, finalOnly bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedBefore(v, finalOnly)
+}
+
+func (s *Store) refusedBefore(v ffconfig.Version, finalOnly bool) bool {
+	return slices.ContainsFunc(s.refused, func(r refusal) bool {
+		return r.version == v && (r.final || !finalOnly)
+	})
+}
+
+// Apply puts a version in force when it is newer and whole, and returns an error
+// otherwise. A fault in its content is final: the version is refused for good.
+func (s *Store) Apply(manifest []byte, pieces map[ffconfig.Digest][]byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, v, err := ffconfig.DecodeManifest(manifest)
+	if err != nil {
+		return &Error{Op: "apply", Kind: KindCorrupt, Err: err}
+	}
+	if !v.NewerThan(s.Version()) {
+		return &Error{Op: "apply", Kind: KindOlder, Err: merry.Errorf("%v is not newer than %v", v, s.Version())}
+	}
+	if s.refusedBefore(v, true) {
+		return &Error{Op: "apply", Kind: KindRefused, Err: merry.Errorf("%v was refused before", v)}
+	}
+	snapshot, err := newSnapshot(m, v, pieces)
+	if err != nil {
+		return s.fault(v, err)
+	}
+	s.swap(snapshot, manifest, pieces)
+	return nil
+}
+
+func newSnapshot(m ffconfig.Manifest, v ffconfig.Version, pieces map[ffconfig.Digest][]byte) (*ffconfig.Snapshot, error) {
+	if size := totalSize(m); size > MaxVersionBytes {
+		return nil, &ffconfig.Error{Op: "apply", Kind: ffconfig.KindTooLarge, Err: merry.Errorf("%d bytes of pieces, at most %d", size, MaxVersionBytes)}
+	}
+	return ffconfig.NewSnapshot(m, v, pieces)
+}
+
+func totalSize(m ffconfig.Manifest) int {
+	total := 0
+	for _, p := range m.Pieces {
+		total += p.Size
+	}
+	return total
+}
+
+// fault refuses the version for good unless a piece is merely missing or damaged on the way.
+func (s *Store) fault(v ffconfig.Version, err error) error {
+	switch configKind(err) {
+	case ffconfig.KindMissing:
+		return &Error{Op: "apply", Kind: KindMissing, Err: err}
+	case ffconfig.KindMismatch:
+		if configField(err) != "name" {
+			return &Error{Op: "apply", Kind: KindCorrupt, Err: err}
+		}
+	}
+	s.refuse(refusal{version: v, final: true}, err)
+	return &Error{Op: "apply", Kind: KindRefused, Err: err}
+}
+
+// RefuseFromPlatform marks a version that is not to be read from the platform again, with the reason.
+func (s *Store) RefuseFromPlatform(v ffconfig.Version, reason error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse(refusal{version: v}, reason)
+}
+
+func (s *Store) refuse(r refusal, reason error) {
+	if s.refusedBefore(r.version, r.final) {
+		return
+	}
+	s.refused = appendBounded(s.refused, r, maxRefused)
+	s.counts.refused.Add(1)
+	s.record(ffaudit.KindVersionRefused, "", r.version, reason.Error())
+}
+
+func (s *Store) swap(snapshot *ffconfig.Snapshot, manifest []byte, pieces map[ffconfig.Digest][]byte) {
+	old := s.inForce.Load()
+	next := &inForce{snapshot: snapshot, manifest: manifest, pieces: make(map[ffconfig.Digest][]byte)}
+	for _, p := range snapshot.Manifest().Pieces {
+		next.pieces[p.Digest] = pieces[p.Digest]
+	}
+	var oldSnapshot *ffconfig.Snapshot
+	if old != nil {
+		oldSnapshot = old.snapshot
+		next.history = old.history.with(oldSnapshot, snapshot)
+	}
+	s.inForce.Store(next)
+	s.counts.applied.Add(1)
+	s.record(ffaudit.KindVersionApplied, "", snapshot.Version(), "in force")
+	s.auditContracts(next.history)
+	if s.OnApply != nil {
+		s.OnApply(oldSnapshot, snapshot)
+	}
+}
+
+// auditContracts records which contracts the last step changed.
+func (s *Store) auditContracts(h history) {
+	if len(h) == 0 {
+		return
+	}
+	last := h[len(h)-1]
+	for _, p := range last.put {
+		if p.Kind == ffconfig.PieceContract {
+			s.record(ffaudit.KindContractChanged, p.Name, s.Version(), "contract added or amended")
+		}
+	}
+	for _, p := range last.removed {
+		if p.Kind == ffconfig.PieceContract {
+			s.record(ffaudit.KindContractChanged, p.Name, s.Version(), "contract removed")
+		}
+	}
+}
+
+// Observe audits that a version was seen whose number the version in force carries with other content.
+func (s *Store) Observe(v ffconfig.Version) {
+	current := s.Version()
+	if !v.ConflictsWith(current) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Contains(s.conflicts, v) {
+		return
+	}
+	s.conflicts = appendBounded(s.conflicts, v, maxRefused)
+	s.counts.conflicts.Add(1)
+	s.record(ffaudit.KindVersionConflict, "", v, "same number as "+current.String()+" with other content")
+}
+
+// manifestSince answers with the manifest in force, as a difference from base
+// when the history reaches back to it and a whole one is not asked for.
+func (s *Store) manifestSince(base ffconfig.Version, whole bool, from *ffprotocol.Summary) *ffprotocol.ManifestResponse {
+	f := s.inForce.Load()
+	from.Version = versionOut(f.snapshot.Version())
+	out := &ffprotocol.ManifestResponse{From: from}
+	change, ok := f.history.since(base)
+	if whole || !ok {
+		out.Whole = f.manifest
+		return out
+	}
+	out.Base = versionOut(base)
+	out.Put = refsOut(change.put)
+	out.Removed = refsOut(change.removed)
+	return out
+}
+
+// Piece returns the content of a piece of the version in force.
+func (s *Store) Piece(d ffconfig.Digest) ([]byte, bool) {
+	f := s.inForce.Load()
+	if f == nil {
+		return nil, false
+	}
+	content, ok := f.pieces[d]
+	return content, ok
+}
+
+func (s *Store) record(kind ffaudit.Kind, subject string, v ffconfig.Version, detail string) {
+	if s.Audit == nil {
+		return
+	}
+	s.Audit.Record(ffaudit.Event{Kind: kind, Subject: subject, Version: v.String(), Detail: detail})
+}
+
+// appendBounded appends v and drops the oldest above the bound.
+func appendBounded[T any](all []T, v T, bound int) []T {
+	all = append(all, v)
+	return all[max(len(all)-bound, 0):]
+}
--- /dev/null
+++ b/internal/ffmember/incarnation.go
@@ -0,0 +1,20 @@
+package ffmember
+
+import "time"
+
+// incarnationRandomBits is the number of low bits that tell two starts within one millisecond apart.
+const incarnationRandomBits = 20
+
+// Incarnation identifies one run of a daemon. A later start gives a greater
+// incarnation; random low bits tell starts at the same time apart.
+type Incarnation uint64
+
+// NewIncarnation returns the incarnation of a daemon that started at the given
+// time, with low bits taken from random.
+func NewIncarnation(start time.Time, random uint64) Incarnation {
+	high := uint64(start.UnixMilli()) << incarnationRandomBits
+	return Incarnation(high | random&(1<<incarnationRandomBits-1))
+}
+
+// Started returns the start time, in whole milliseconds.
+func (i Incarnation) Started() time.Time { return time.UnixMilli(int64(i >> incarnationRandomBits)) }
--- /dev/null
+++ b/internal/ffmember/list.go
@@ -0,0 +1,132 @@
+package ffmember
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of parts in which two daemons compare their lists.
+const Buckets = 256
+
+// List is the platform's list of VMs at one revision, immutable. Lists are
+// totally ordered: by revision, then by digest. The zero value is the empty
+// list, older than every other.
+type List struct {
+	revision uint64
+	digest   uint64
+	byName   map[string]VM
+	buckets  [Buckets]uint64
+}
+
+// NewList returns the list of vms at a revision. Of two VMs with one name the last counts.
+func NewList(revision uint64, vms []VM) *List {
+	l := &List{revision: revision, byName: make(map[string]VM, len(vms))}
+	for _, vm := range vms {
+		l.byName[vm.Name] = vm
+	}
+	l.sum()
+	return l
+}
+
+func (l *List) sum() {
+	for _, vm := range l.byName {
+		l.buckets[bucketOf(vm.Name)] += hashVM(vm)
+	}
+	for i, b := range l.buckets {
+		l.digest += hashPair(uint64(i), b)
+	}
+}
+
+// Revision returns the platform's revision of the list.
+func (l *List) Revision() uint64 { return l.revision }
+
+// Digest returns a hash of the entries.
+func (l *List) Digest() uint64 { return l.digest }
+
+// Len returns the number of entries.
+func (l *List) Len() int { return len(l.byName) }
+
+// NewerThan reports whether l comes after other in the order of lists.
+func (l *List) NewerThan(other *List) bool {
+	return cmp.Or(cmp.Compare(l.revision, other.revision), cmp.Compare(l.digest, other.digest)) > 0
+}
+
+// VM returns the entry with this name.
+func (l *List) VM(name string) (VM, bool) {
+	vm, ok := l.byName[name]
+	return vm, ok
+}
+
+// BucketDigests returns a hash for each bucket of entries.
+func (l *List) BucketDigests() []uint64 { return slices.Clone(l.buckets[:]) }
+
+// Differing returns the buckets whose hashes are not those given.
+func (l *List) Differing(digests []uint64) []int {
+	var differing []int
+	for i, b := range l.buckets {
+		if i >= len(digests) || digests[i] != b {
+			differing = append(differing, i)
+		}
+	}
+	return differing
+}
+
+// InBuckets returns the entries of the given buckets, by name.
+func (l *List) InBuckets(buckets []int) []VM {
+	var wanted [Buckets]bool
+	for _, b := range buckets {
+		wanted[b] = true
+	}
+	var vms []VM
+	for _, vm := range l.byName {
+		if wanted[bucketOf(vm.Name)] {
+			vms = append(vms, vm)
+		}
+	}
+	sortByName(vms)
+	return vms
+}
+
+// WithBuckets returns the list at a revision whose given buckets hold exactly vms.
+func (l *List) WithBuckets(revision uint64, buckets []int, vms []VM) *List {
+	var replaced [Buckets]bool
+	for _, b := range buckets {
+		if b >= 0 && b < Buckets {
+			replaced[b] = true
+		}
+	}
+	kept := make([]VM, 0, len(l.byName)+len(vms))
+	for _, vm := range l.byName {
+		if !replaced[bucketOf(vm.Name)] {
+			kept = append(kept, vm)
+		}
+	}
+	return NewList(revision, append(kept, vms...))
+}
+
+func sortByName(vms []VM) {
+	slices.SortFunc(vms, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func bucketOf(name string) int { return int(xxhash.Sum64String(name) % Buckets) }
+
+func hashVM(vm VM) uint64 {
+	h := xxhash.New()
+	for _, field := range []string{vm.Name, vm.DataCentre, vm.Service, vm.PeerAddress, vm.ForwardAddress, vm.OperatorAddress, strconv.Itoa(int(vm.State))} {
+		_, _ = h.WriteString(field)
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+func hashPair(a, b uint64) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(a, 16) + ":" + strconv.FormatUint(b, 16))
+}
+
+// OlderThan reports whether a list with this revision and digest comes after l.
+func (l *List) OlderThan(revision, digest uint64) bool {
+	return cmp.Or(cmp.Compare(revision, l.revision), cmp.Compare(digest, l.digest)) > 0
+}
--- /dev/null
+++ b/internal/ffpeer/client.go
@@ -0,0 +1,59 @@
+package ffpeer
+
+import (
+	"context"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
+)
+
+const (
+	// exchangeTimeout bounds an exchange of summaries.
+	exchangeTimeout = time.Second
+	// transferTimeout bounds the transfer of a manifest, of pieces or of buckets.
+	transferTimeout = 3 * time.Second
+)
+
+// Client calls the configuration service of other daemons by address.
+type Client struct {
+	Pool *Pool
+}
+
+// Exchange tells the peer what this daemon has and returns what the peer has.
+func (c *Client) Exchange(ctx context.Context, address string, in *ffprotocol.ExchangeRequest) (*ffprotocol.ExchangeResponse, error) {
+	return call(ctx, c, "exchange", address, exchangeTimeout, in, ffprotocol.DRPCConfigurationServiceClient.Exchange)
+}
+
+// Manifest returns the manifest that the peer has in force.
+func (c *Client) Manifest(ctx context.Context, address string, in *ffprotocol.ManifestRequest) (*ffprotocol.ManifestResponse, error) {
+	return call(ctx, c, "manifest", address, transferTimeout, in, ffprotocol.DRPCConfigurationServiceClient.Manifest)
+}
+
+// Pieces returns those of the pieces that the peer has.
+func (c *Client) Pieces(ctx context.Context, address string, in *ffprotocol.PiecesRequest) (*ffprotocol.PiecesResponse, error) {
+	return call(ctx, c, "pieces", address, transferTimeout, in, ffprotocol.DRPCConfigurationServiceClient.Pieces)
+}
+
+// List returns the buckets of the peer's VM list that differ.
+func (c *Client) List(ctx context.Context, address string, in *ffprotocol.ListRequest) (*ffprotocol.ListResponse, error) {
+	return call(ctx, c, "list", address, transferTimeout, in, ffprotocol.DRPCConfigurationServiceClient.List)
+}
+
+type method[In, Out any] func(ffprotocol.DRPCConfigurationServiceClient, context.Context, In) (Out, error)
+
+// call runs one method with a deadline.
+func call[In, Out any](ctx context.Context, c *Client, op, address string, timeout time.Duration, in In, do method[In, Out]) (Out, error) {
+	var none Out
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := c.Pool.Conn(ctx, address)
+	if err != nil {
+		return none, err
+	}
+	defer func() { _ = conn.Close() }()
+	out, err := do(ffprotocol.NewDRPCConfigurationServiceClient(conn), ctx, in)
+	if err != nil {
+		return none, &Error{Op: op, Kind: KindCall, Address: address, Err: err}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/ffpeer/error.go
@@ -0,0 +1,35 @@
+package ffpeer
+
+import "fmt"
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind tells what sort of fault an Error reports.
+type Kind int
+
+// Kinds of fault between daemons.
+const (
+	KindUnknown  Kind = iota // unknown
+	KindDial                 // dial
+	KindBusy                 // busy
+	KindCall                 // call
+	KindRegister             // register
+	KindBackoff              // backoff
+)
+
+// Error is a fault in talking to another daemon.
+type Error struct {
+	Op   string
+	Kind Kind
+	// Address is the IP address and port of the other daemon.
+	Address string
+	Err     error
+}
+
+// Error returns the operation, the kind, the address and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("ffpeer: %s: %s: %s: %v", e.Op, e.Kind, e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/ffpeer/peer_test.go
@@ -0,0 +1,139 @@
+package ffpeer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"fireflyfall.dev/fireflyfall/internal/ffpeer"
+	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
+)
+
+// echo answers each exchange with the sender's summary.
+type echo struct {
+	ffprotocol.DRPCConfigurationServiceUnimplementedServer
+}
+
+func (*echo) Exchange(_ context.Context, in *ffprotocol.ExchangeRequest) (*ffprotocol.ExchangeResponse, error) {
+	return &ffprotocol.ExchangeResponse{From: in.GetFrom()}, nil
+}
+
+// peer is a server with a client of it, on loopback.
+type peer struct {
+	meter   ffpeer.Meter
+	pool    *ffpeer.Pool
+	client  ffpeer.Client
+	address string
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+func startPeer(t *testing.T) *peer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{address: listener.Addr().String(), done: make(chan error, 1)}
+	server := &ffpeer.Server{}
+	if err := server.Register(&echo{}, ffprotocol.DRPCConfigurationServiceDescription{}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() { p.done <- server.Serve(ctx, listener) }()
+	p.pool = &ffpeer.Pool{Meter: &p.meter, MaxConnections: 2}
+	p.client = ffpeer.Client{Pool: p.pool}
+	return p
+}
+
+func (p *peer) stop(t *testing.T) {
+	t.Helper()
+	if err := p.pool.Close(); err != nil {
+		t.Error(err)
+	}
+	p.cancel()
+	if err := <-p.done; err != nil {
+		t.Error(err)
+	}
+	goleak.VerifyNone(t)
+}
+
+func summary() *ffprotocol.ExchangeRequest {
+	return &ffprotocol.ExchangeRequest{From: &ffprotocol.Summary{
+		Vm: "vm-0123", DataCentre: "palermo", PeerAddress: "10.0.0.1:9000", Incarnation: 1 << 60, Ready: true,
+		Version:      &ffprotocol.Version{Number: 8700, Digest: make([]byte, 32)},
+		ListRevision: 100, ListDigest: 1, EvidenceDigest: 1,
+	}}
+}
+
+func TestExchangeReusesConnectionAndCountsBytes(t *testing.T) {
+	p := startPeer(t)
+	defer p.stop(t)
+	const rounds = 10
+	for range rounds {
+		out, err := p.client.Exchange(context.Background(), p.address, summary())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if out.GetFrom().GetVm() != "vm-0123" {
+			t.Fatalf("answer is %v", out)
+		}
+	}
+	u := p.meter.Usage()
+	if u.ConnectionsOpened != 1 || u.OpenNow != 1 {
+		t.Errorf("usage %+v: one connection is enough for calls one after the other", u)
+	}
+	if u.BytesOut == 0 || u.BytesOut/rounds > 256 || u.BytesIn/rounds > 256 {
+		t.Errorf("usage %+v: an exchange takes more than 256 bytes one way", u)
+	}
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	p := startPeer(t)
+	defer p.stop(t)
+	relay := newRelay(t, p.address)
+	if _, err := p.client.Exchange(context.Background(), relay.address(), summary()); err != nil {
+		t.Fatal(err)
+	}
+	relay.silence()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := p.client.Exchange(ctx, relay.address(), summary()); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	if _, err := p.client.Exchange(context.Background(), relay.address(), summary()); err != nil {
+		t.Fatalf("after a silent connection: %v", err)
+	}
+	relay.close()
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	p := startPeer(t)
+	defer p.stop(t)
+	relay := newRelay(t, p.address)
+	defer relay.close()
+	relay.silence()
+	relay.silenceNew()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	const calls = 8
+	done := make(chan error, calls)
+	for range calls {
+		go func() {
+			_, err := p.client.Exchange(ctx, relay.address(), summary())
+			done <- err
+		}()
+	}
+	for range calls {
+		if err := <-done; err == nil {
+			t.Error("a silent peer answered")
+		}
+	}
+	if u := p.meter.Usage(); u.ConnectionsOpened > 2 {
+		t.Errorf("usage %+v: at most 2 connections are allowed", u)
+	}
+}
