Forwarding between daemons and the operators' endpoint

Each connection is greeted first: it belongs to one incarnation of one VM, so that an address reused by another VM or a restarted daemon is noticed.

Weighed for silence: heartbeats on the connection of the call itself (drpc carries one call a connection, so they would need a multiplexing of our own) against look-ups over a second connection; the latter also brings back the answer that the silent connection lost.

--- a/internal/ffcall/enum_string.go
+++ b/internal/ffcall/enum_string.go
@@ -24,7 +24,6 @@
 	}
 	return _Outcome_name[_Outcome_index[idx]:_Outcome_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -46,11 +45,12 @@
 	_ = x[KindToken-14]
 	_ = x[KindVersion-15]
 	_ = x[KindCancelled-16]
+	_ = x[KindMalformed-17]
 }
 
-const _Kind_name = "unknownunauthenticatedforbiddennoRoutetooLargelimitoverloaddeadlineleavingnotReadyunreachablesilenttruncatedcrossedtokenversioncancelled"
+const _Kind_name = "unknownunauthenticatedforbiddennoRoutetooLargelimitoverloaddeadlineleavingnotReadyunreachablesilenttruncatedcrossedtokenversioncancelledmalformed"
 
-var _Kind_index = [...]uint8{0, 7, 22, 31, 38, 46, 51, 59, 67, 74, 82, 93, 99, 108, 115, 120, 127, 136}
+var _Kind_index = [...]uint8{0, 7, 22, 31, 38, 46, 51, 59, 67, 74, 82, 93, 99, 108, 115, 120, 127, 136, 145}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/ffcall/error.go
+++ b/internal/ffcall/error.go
@@ -40,6 +40,7 @@
 	KindToken                       // token
 	KindVersion                     // version
 	KindCancelled                   // cancelled
+	KindMalformed                   // malformed
 )
 
 // Error tells why a call got no answer and whether it ran.
@@ -62,6 +63,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// MarshalText returns the name of o.
+func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// MarshalText returns the name of k.
+func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
 // Refuse returns an error for a call that provably did not run.
 func Refuse(op string, kind Kind, err error) *Error {
 	return &Error{Op: op, Kind: kind, Outcome: OutcomeNotRun, Err: err}
--- /dev/null
+++ b/internal/ffforward/attempt.go
@@ -0,0 +1,43 @@
+package ffforward
+
+import (
+	"context"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffcall"
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
+)
+
+// result is what one attempt came to.
+type result struct {
+	reply *ffcall.Reply
+	err   error
+}
+
+// attempt is one call on its way over one connection.
+type attempt struct {
+	pool   *pool
+	vm     ffmember.VM
+	call   *ffcall.Call
+	conn   *conn
+	result chan result
+}
+
+// run sends the call, waits for the whole answer and gives the connection back.
+func (a *attempt) run(ctx context.Context) {
+	client := ffprotocol.NewDRPCCallServiceClient(a.conn)
+	r, err := client.Forward(ctx, requestOf(a.call, a.conn.incarnation, time.Now()))
+	if err != nil {
+		_ = a.conn.Close()
+		a.result <- result{err: &ffcall.Error{Op: "forward", Kind: ffcall.KindUnreachable, Err: err}}
+		return
+	}
+	reply, err := replyOf(a.call.ID, r, time.Now())
+	if err != nil && broken(err) {
+		_ = a.conn.Close()
+	} else {
+		a.pool.put(a.vm.ForwardAddress, a.conn)
+	}
+	a.result <- result{reply: reply, err: err}
+}
--- /dev/null
+++ b/internal/ffforward/pool.go
@@ -0,0 +1,106 @@
+package ffforward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+)
+
+const (
+	// maxIdle bounds the idle connections kept to one daemon.
+	maxIdle = 16
+	// maxIdleTotal bounds the idle connections kept to all daemons.
+	maxIdleTotal = 1024
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 30 * time.Second
+)
+
+// pool keeps idle connections by address. The zero value is empty.
+type pool struct {
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	total  int
+	closed bool
+}
+
+// take returns an idle connection to vm, or nil when there is none.
+func (p *pool) take(address string, now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		n := len(p.idle[address])
+		if n == 0 {
+			return nil
+		}
+		c := p.idle[address][n-1]
+		p.idle[address] = p.idle[address][:n-1]
+		p.total--
+		if usable(c, now) {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+func usable(c *conn, now time.Time) bool {
+	select {
+	case <-c.Closed():
+		return false
+	default:
+		return now.Before(c.idleUntil)
+	}
+}
+
+// get returns an idle connection to vm or makes one.
+func (p *pool) get(ctx context.Context, vm ffmember.VM) (*conn, error) {
+	if c := p.take(vm.ForwardAddress, time.Now()); c != nil {
+		return c, nil
+	}
+	return dial(ctx, vm)
+}
+
+// put keeps a connection for later, or closes it when there are enough.
+func (p *pool) put(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.total >= maxIdleTotal || len(p.idle[address]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	if p.idle == nil {
+		p.idle = make(map[string][]*conn)
+	}
+	c.idleUntil = time.Now().Add(idleTimeout)
+	p.idle[address] = append(p.idle[address], c)
+	p.total++
+}
+
+// drop closes every idle connection to an address, after one of them went silent.
+func (p *pool) drop(address string) {
+	p.mu.Lock()
+	conns := p.idle[address]
+	delete(p.idle, address)
+	p.total -= len(conns)
+	p.mu.Unlock()
+	closeAll(conns)
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.total = 0
+	p.mu.Unlock()
+	for _, conns := range idle {
+		closeAll(conns)
+	}
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
