--- /dev/null
+++ b/internal/ffplatform/vmlist.go
@@ -0,0 +1,79 @@
+package ffplatform
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+)
+
+// MaxVMListBytes bounds the encoded list of VMs, in bytes.
+const MaxVMListBytes = 4 << 20
+
+// VMList is the platform's list of VMs at one revision.
+type VMList struct {
+	// Revision identifies the list; a watch that saw no change returns the
+	// revision that it was given, without VMs.
+	Revision uint64
+	VMs      []ffmember.VM
+}
+
+// listedVM is a VM whose state must be there.
+type listedVM struct {
+	ffmember.VM
+	State *ffmember.State `json:"state"`
+}
+
+// decodeVMs reads an encoded list; unknown, missing and repeated names are errors.
+func decodeVMs(content []byte) ([]ffmember.VM, error) {
+	var listed []listedVM
+	d := json.NewDecoder(bytes.NewReader(content))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&listed); err != nil {
+		return nil, err
+	}
+	if d.More() {
+		return nil, merry.New("content follows the list")
+	}
+	if listed == nil {
+		return nil, merry.New("no list")
+	}
+	vms := make([]ffmember.VM, 0, len(listed))
+	seen := make(map[string]bool, len(listed))
+	for _, l := range listed {
+		if err := l.validate(); err != nil {
+			return nil, err
+		}
+		if seen[l.Name] {
+			return nil, merry.Errorf("VM %q is listed twice", l.Name)
+		}
+		seen[l.Name] = true
+		vm := l.VM
+		vm.State = *l.State
+		vms = append(vms, vm)
+	}
+	return vms, nil
+}
+
+func (l listedVM) validate() error {
+	switch {
+	case l.Name == "":
+		return merry.New("a VM has no name")
+	case l.DataCentre == "":
+		return merry.Errorf("VM %q has no dataCentre", l.Name)
+	case l.Service == "":
+		return merry.Errorf("VM %q has no service", l.Name)
+	case l.State == nil:
+		return merry.Errorf("VM %q has no state", l.Name)
+	}
+	if _, err := netip.ParseAddrPort(l.PeerAddress); err != nil {
+		return merry.Prependf(err, "VM %q peerAddress", l.Name)
+	}
+	if _, err := netip.ParseAddrPort(l.ForwardAddress); err != nil {
+		return merry.Prependf(err, "VM %q forwardAddress", l.Name)
+	}
+	return nil
+}
