--- /dev/null
+++ b/internal/ffdistribution/failure_test.go
@@ -0,0 +1,375 @@
+package ffdistribution_test
+
+import (
+	"testing"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffaudit"
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffplacement"
+)
+
+// settle is the time that a fleet of the tests needs to start.
+const settle = 10 * time.Second
+
+// begin starts a fleet with a first version in force everywhere.
+func (f *fleet) begin(t *testing.T) release {
+	t.Helper()
+	r := newRelease(1, "a", false)
+	f.platform.serve(r)
+	f.startAll()
+	f.requireInForce(t, r.version, settle)
+	return r
+}
+
+func TestRestartBehindStalePlatformNeverGoesBack(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		old := f.begin(t)
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		f.requireInForce(t, latest.version, convergence)
+		f.platform.serve(old)
+		for _, vm := range f.vms[:4] {
+			r := f.start(vm, f.platform)
+			f.requireInForce(t, latest.version, settle)
+			if len(r.applied) != 1 {
+				t.Errorf("%s put %v in force, want only %v", vm.Name, r.applied, latest.version)
+			}
+		}
+	})
+}
+
+func TestDaemonAloneIsNotReady(t *testing.T) {
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+		f.begin(t)
+		f.platform.setDown(true)
+		f.stopAll()
+		r := f.start(f.vms[0], f.platform)
+		advance(time.Minute)
+		if r.node.Ready() || len(r.applied) > 0 {
+			t.Errorf("ready %v with %v in force, while nobody has answered", r.node.Ready(), r.applied)
+		}
+		for _, vm := range f.vms[1:] {
+			f.start(vm, f.platform)
+		}
+		advance(time.Minute)
+		for _, r := range f.running {
+			if r.node.Ready() {
+				t.Errorf("%s is ready, while nobody who has learnt anything has answered", r.node.Self.Name)
+			}
+		}
+		f.platform.setDown(false)
+		f.requireInForce(t, newRelease(1, "a", false).version, settle)
+	})
+}
+
+func TestServesWhilePlatformIsDown(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		r := f.begin(t)
+		f.platform.setDown(true)
+		advance(10 * time.Minute)
+		f.requireInForce(t, r.version, 0)
+		f.start(f.vms[0], f.platform)
+		f.requireInForce(t, r.version, settle)
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		f.platform.setDown(false)
+		f.requireInForce(t, latest.version, convergence)
+	})
+}
+
+func TestFlappingPlatformNeverTakesBack(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		old := f.begin(t)
+		latest := newRelease(2, "a", false)
+		for range 20 {
+			f.platform.serve(latest)
+			advance(300 * time.Millisecond)
+			f.platform.serve(old)
+			advance(300 * time.Millisecond)
+		}
+		f.requireInForce(t, latest.version, convergence)
+	})
+}
+
+func TestDataCentreCutFromPlatformLearnsFromNeighbours(t *testing.T) {
+	inFleet(t, 3, 4, func(t *testing.T, f *fleet) {
+		f.platform.serve(newRelease(1, "a", false))
+		cut := newPlatform(f.vms)
+		cut.down = true
+		for _, vm := range f.vms {
+			if vm.DataCentre == "dc-0" {
+				f.start(vm, cut)
+			} else {
+				f.start(vm, f.platform)
+			}
+			f.running[vm.Name].node.Seeds = []string{"vm-1-0", "vm-2-0"}
+		}
+		f.requireInForce(t, newRelease(1, "a", false).version, 2*settle)
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		f.requireInForce(t, latest.version, convergence)
+	})
+}
+
+func TestCutDataCentreCatchesUpWhenHealed(t *testing.T) {
+	inFleet(t, 3, 4, func(t *testing.T, f *fleet) {
+		stale := newPlatform(f.vms)
+		stale.serve(newRelease(1, "a", false))
+		for _, vm := range f.vms[:4] {
+			f.start(vm, stale)
+		}
+		f.platform.serve(newRelease(1, "a", false))
+		for _, vm := range f.vms[4:] {
+			f.start(vm, f.platform)
+		}
+		f.requireInForce(t, newRelease(1, "a", false).version, settle)
+		f.cutDataCentre("dc-0")
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		advance(time.Minute)
+		if behind := f.behind(latest.version); len(behind) != 4 {
+			t.Errorf("behind are %v, want the 4 daemons that are cut off", behind)
+		}
+		f.heal()
+		f.requireInForce(t, latest.version, settle)
+	})
+}
+
+func TestReadersKilledWhileTheySpread(t *testing.T) {
+	inFleet(t, 1, 12, func(t *testing.T, f *fleet) {
+		f.begin(t)
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		for _, vm := range ffplacement.FavouredReaders(f.vms, "dc-0", ffplacement.ReaderCount, 1) {
+			f.stop(vm)
+		}
+		f.requireInForce(t, latest.version, settle)
+		next := newRelease(3, "a", false)
+		f.platform.serve(next)
+		f.requireInForce(t, next.version, convergence)
+	})
+}
+
+func TestDataCentreKilledAndBack(t *testing.T) {
+	inFleet(t, 2, 6, func(t *testing.T, f *fleet) {
+		old := f.begin(t)
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		f.requireInForce(t, latest.version, convergence)
+		f.platform.serve(old)
+		for _, vm := range f.vms[:6] {
+			f.stop(vm)
+		}
+		for _, vm := range f.vms[:6] {
+			f.start(vm, f.platform)
+		}
+		f.requireInForce(t, latest.version, settle)
+		for _, vm := range f.vms[:6] {
+			if applied := f.running[vm.Name].applied; len(applied) != 1 {
+				t.Errorf("%s put %v in force, want only %v", vm.Name, applied, latest.version)
+			}
+		}
+	})
+}
+
+// TestRestartInCutTakesOnlyGreatest restarts a data centre that nobody answers,
+// and then lets a stale platform and the others answer at the same moment.
+func TestRestartInCutTakesOnlyGreatest(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		old := f.begin(t)
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		f.requireInForce(t, latest.version, convergence)
+		f.cutDataCentre("dc-0")
+		stale := newPlatform(f.vms)
+		stale.serve(old)
+		stale.setDown(true)
+		for _, vm := range f.vms[:4] {
+			f.start(vm, stale).node.Members.ApplyList(ffmember.NewList(1, f.vms))
+		}
+		advance(time.Minute)
+		f.heal()
+		stale.setDown(false)
+		f.requireInForce(t, latest.version, settle)
+		for _, vm := range f.vms[:4] {
+			if applied := f.running[vm.Name].applied; len(applied) != 1 {
+				t.Errorf("%s put %v in force, want only %v", vm.Name, applied, latest.version)
+			}
+		}
+	})
+}
+
+func TestPausedDaemonLearnsAgainBeforeItIsReady(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		f.begin(t)
+		paused := f.running[f.vms[0].Name].node
+		trail := &ffaudit.Trail{}
+		paused.Audit = trail
+		f.block(f.vms[0].Name, "")
+		f.block("", f.vms[0].Name)
+		paused.Platform.(*platform).setDown(true)
+		paused.Beat(time.Now().Add(time.Minute))
+		paused.Beat(time.Now())
+		advance(time.Minute)
+		if paused.Ready() {
+			t.Error("ready after a pause, before anybody has answered")
+		}
+		if events := trail.Events(); len(events) != 1 || events[0].Kind != ffaudit.KindPauseDetected {
+			t.Errorf("audited %v, want one pause", events)
+		}
+		f.heal()
+		f.requireInForce(t, newRelease(1, "a", false).version, settle)
+	})
+}
+
+func TestRaceEndsOnOneVersionAndIsAudited(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		f.begin(t)
+		trails := make(map[string]*ffaudit.Trail)
+		for name, r := range f.running {
+			trails[name] = &ffaudit.Trail{Daemon: name}
+			r.node.Store.Audit = trails[name]
+		}
+		first, second := newRelease(2, "a", false), newRelease(2, "b", false)
+		f.platform.serve(first)
+		advance(convergence)
+		f.platform.serve(second)
+		greatest := first.version
+		if second.version.NewerThan(greatest) {
+			greatest = second.version
+		}
+		f.requireInForce(t, greatest, convergence)
+		conflicts := 0
+		for _, trail := range trails {
+			for _, e := range trail.Events() {
+				if e.Kind == ffaudit.KindVersionConflict {
+					conflicts++
+				}
+			}
+		}
+		if conflicts == 0 {
+			t.Error("no daemon audited the conflict")
+		}
+	})
+}
+
+func TestFaultyVersionIsRefusedOnceAndForGood(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		old := f.begin(t)
+		trail := &ffaudit.Trail{}
+		for _, r := range f.running {
+			r.node.Store.Audit = trail
+		}
+		f.platform.serve(newRelease(2, "a", true))
+		f.requireInForce(t, old.version, convergence)
+		refused := len(trail.Events())
+		if refused == 0 || refused > 2*ffplacement.ReaderCount {
+			t.Errorf("%d refusals audited, want one of each reader", refused)
+		}
+		for range 10 {
+			f.platform.serve(old)
+			advance(time.Second)
+			f.platform.serve(newRelease(2, "a", true))
+			advance(time.Second)
+		}
+		if again := len(trail.Events()); again != refused {
+			t.Errorf("%d refusals after a minute, %d at first", again, refused)
+		}
+		mended := newRelease(3, "a", false)
+		f.platform.serve(mended)
+		f.requireInForce(t, mended.version, convergence)
+	})
+}
+
+func TestPieceDamagedAtSourceIsRefusedWhole(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		old := f.begin(t)
+		bad := newRelease(2, "a", false)
+		f.platform.update(func() {
+			for d := range bad.pieces {
+				f.platform.damaged[d] = true
+				break
+			}
+		})
+		f.platform.serve(bad)
+		f.requireInForce(t, old.version, time.Minute)
+		reads := f.platform.reads
+		advance(10 * time.Minute)
+		if more := f.platform.reads - reads; more > 6*60+100 {
+			t.Errorf("%d reads in ten minutes after the refusal: the damaged version is read again", more)
+		}
+		mended := newRelease(3, "a", false)
+		f.platform.serve(mended)
+		f.requireInForce(t, mended.version, convergence)
+	})
+}
+
+func TestPiecesDamagedOnTheWayAreFetchedElsewhere(t *testing.T) {
+	inFleet(t, 2, 6, func(t *testing.T, f *fleet) {
+		f.begin(t)
+		f.network.set(func() { f.network.damage = true })
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		f.requireInForce(t, latest.version, convergence)
+	})
+}
+
+func TestLeavingVMIsKnownWithinTwoSeconds(t *testing.T) {
+	inFleet(t, 3, 12, func(t *testing.T, f *fleet) {
+		f.begin(t)
+		leaver := f.running[f.vms[0].Name]
+		leaver.node.Leave(t.Context())
+		advance(2 * time.Second)
+		f.requireState(t, leaver, ffmember.StateLeaving)
+		leaver.node.Gone(t.Context())
+		f.stop(f.vms[0])
+		advance(2 * time.Second)
+		f.requireState(t, leaver, ffmember.StateGone)
+		again := f.start(f.vms[0], f.platform)
+		advance(settle)
+		f.requireState(t, again, ffmember.StateLive)
+	})
+}
+
+// requireState fails the test unless every daemon sees the VM of r in this state.
+func (f *fleet) requireState(t *testing.T, r *running, want ffmember.State) {
+	t.Helper()
+	for name, other := range f.running {
+		vm, ok := other.node.Members.View().VM(r.node.Self.Name)
+		got := vm.State
+		if !ok {
+			got = ffmember.StateGone
+		}
+		if got != want {
+			t.Errorf("%s sees %s as %v, want %v", name, r.node.Self.Name, got, want)
+		}
+	}
+}
+
+func TestListComesFromFewReaders(t *testing.T) {
+	inFleet(t, 2, 10, func(t *testing.T, f *fleet) {
+		f.begin(t)
+		joined := ffmember.VM{Name: "vm-new", DataCentre: "dc-0", Service: "desk", PeerAddress: "vm-new"}
+		f.platform.update(func() {
+			f.platform.list.Revision++
+			f.platform.list.VMs = append(f.platform.list.VMs[:len(f.vms):len(f.vms)], joined)
+		})
+		advance(convergence)
+		for name, r := range f.running {
+			if _, ok := r.node.Members.View().VM("vm-new"); !ok {
+				t.Errorf("%s does not know the new VM", name)
+			}
+		}
+		f.platform.update(func() {
+			f.platform.list.Revision--
+			f.platform.list.VMs = f.vms
+		})
+		advance(settle)
+		for name, r := range f.running {
+			if got := r.node.Members.View().List().Revision(); got != 2 {
+				t.Errorf("%s went back to revision %d of the list", name, got)
+			}
+		}
+	})
+}
--- a/internal/ffdistribution/reader.go
+++ b/internal/ffdistribution/reader.go
@@ -6,6 +6,7 @@
 
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
 	"fireflyfall.dev/fireflyfall/internal/ffplacement"
+	"fireflyfall.dev/fireflyfall/internal/ffplatform"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
@@ -80,38 +81,39 @@
 	if value.Revision == r.revision {
 		return nil
 	}
-	if err := r.n.acceptManifest(ctx, value.Content, r); err != nil {
+	if err := r.accept(ctx, value); err != nil {
 		return err
 	}
 	r.revision = value.Revision
 	return nil
 }
 
-func (r *manifestReader) next(ctx context.Context) (Value, error) {
+func (r *manifestReader) next(ctx context.Context) (ffplatform.Value, error) {
 	r.n.counts.platformCalls.Add(1)
 	if r.n.Budget.MayWatch() {
-		return r.n.Platform.WatchManifest(ctx, r.revision, time.Now().Add(watchTime))
+		return r.n.Platform.Watch(ctx, ffplatform.ManifestKey, r.revision, time.Now().Add(watchTime))
 	}
-	return r.n.Platform.Manifest(ctx)
+	return r.n.Platform.Read(ctx, ffplatform.ManifestKey)
 }
 
-// acceptManifest brings a manifest of the platform into force if it is newer.
-func (n *Node) acceptManifest(ctx context.Context, content []byte, r *manifestReader) error {
-	_, v, err := ffconfig.DecodeManifest(content)
+// accept brings a manifest of the platform into force if it is newer.
+func (r *manifestReader) accept(ctx context.Context, value ffplatform.Value) error {
+	store := r.n.Store
+	_, v, err := ffconfig.DecodeManifest(value.Content)
 	if err != nil {
-		n.Store.RefuseFromPlatform(ffconfig.Version{Digest: ffconfig.DigestOf(content)}, err)
+		store.RefuseFromPlatform(ffconfig.Version{Digest: ffconfig.DigestOf(value.Content)}, value.Revision, err)
 		return nil
 	}
-	n.Store.Observe(v)
-	if !n.Store.WantsFromPlatform(v) {
+	store.Observe(v)
+	if !store.WantsFromPlatform(v, value.Revision) {
 		return nil
 	}
-	err = n.complete(ctx, content, origin{foreign: true})
+	err = r.n.complete(ctx, value.Content, origin{foreign: true})
 	if KindOf(err) == KindRefused {
 		return nil
 	}
 	if KindOf(err) == KindCorrupt && r.giveUp(v) {
-		n.Store.RefuseFromPlatform(v, err)
+		store.RefuseFromPlatform(v, value.Revision, err)
 		return nil
 	}
 	return err
@@ -119,50 +121,58 @@
 
 // giveUp counts a damaged reading of v and reports whether it was the last attempt.
 func (r *manifestReader) giveUp(v ffconfig.Version) bool {
-	if r.version != v {
+	if r.version != v || r.corrupt == corruptAttempts {
 		r.version, r.corrupt = v, 0
 	}
 	r.corrupt++
-	return r.corrupt >= corruptAttempts
+	return r.corrupt == corruptAttempts
 }
 
 // runListWatch watches the platform's list of VMs while this daemon is its reader.
 func (n *Node) runListWatch(ctx context.Context) error {
+	r := listReader{n: n}
 	wait := newBackoff()
 	for ctx.Err() == nil {
 		if !n.learnt.Load() || !n.role().list {
 			_ = waitUntil(ctx, time.Now().Add(roleInterval))
 			continue
 		}
-		pause, err := n.watchList(ctx)
+		until, err := r.step(ctx)
 		if err != nil {
 			n.Log.Debug().Err(err).Msg("VM list not read")
-			pause = wait.NextBackOff()
+			until = time.Now().Add(wait.NextBackOff())
 		} else {
 			wait.Reset()
 		}
-		_ = waitUntil(ctx, time.Now().Add(pause))
+		_ = waitUntil(ctx, until)
 	}
 	return nil
 }
 
-// watchList waits for one change of the list and returns how long to leave the
-// platform alone, so that a long list does not cost more than its bytes a second.
-func (n *Node) watchList(ctx context.Context) (time.Duration, error) {
-	n.counts.platformCalls.Add(1)
-	revision := n.Members.View().List().Revision()
-	read := n.Platform.VMs
-	if n.Budget.MayWatch() {
-		read = func(ctx context.Context) (VMList, error) {
-			return n.Platform.WatchVMs(ctx, revision, time.Now().Add(watchTime))
-		}
+// listReader follows the platform's list of VMs.
+type listReader struct {
+	n        *Node
+	revision uint64
+}
+
+// step waits for one change of the list and returns until when to leave the
+// platform alone, so that a long list costs no more than its bytes a second.
+func (r *listReader) step(ctx context.Context) (time.Time, error) {
+	list, err := r.next(ctx)
+	if err != nil || list.Revision == r.revision {
+		return time.Time{}, err
 	}
-	list, err := read(ctx)
-	if err != nil || list.Revision == revision {
-		return 0, err
+	r.revision = list.Revision
+	r.n.acceptList(ffmember.NewList(list.Revision, list.VMs), true)
+	return time.Now().Add(time.Duration(len(list.VMs)*vmBytes) * time.Second / listBytesPerSecond), nil
+}
+
+func (r *listReader) next(ctx context.Context) (ffplatform.VMList, error) {
+	r.n.counts.platformCalls.Add(1)
+	if r.n.Budget.MayWatch() {
+		return r.n.Platform.WatchVMs(ctx, r.revision, time.Now().Add(watchTime))
 	}
-	n.acceptList(ffmember.NewList(list.Revision, list.VMs), true)
-	return time.Duration(len(list.VMs)*vmBytes) * time.Second / listBytesPerSecond, nil
+	return r.n.Platform.VMs(ctx)
 }
 
 // acceptList takes a list that is newer and passes it on.
--- a/internal/ffdistribution/store.go
+++ b/internal/ffdistribution/store.go
@@ -40,11 +40,14 @@
 	counts    counts
 }
 
-// refusal is a version that is not tried again. One that is not final failed
-// only on the way from the platform and may still come from a peer that has it whole.
+// refusal is a version that is not tried again. One that is not final came
+// damaged from the platform: it may still come from a peer that has it whole, or
+// from the platform once the manifest is published again.
 type refusal struct {
 	version ffconfig.Version
 	final   bool
+	// revision is the platform's revision of the manifest.
+	revision uint64
 }
 
 // inForce is the version in force with all that peers may ask for.
@@ -75,24 +78,19 @@
 
 // Wants reports whether v would replace the version in force and was not refused for its content.
 func (s *Store) Wants(v ffconfig.Version) bool {
-	return v.NewerThan(s.Version()) && !s.isRefused(v, true)
+	return v.NewerThan(s.Version()) && !s.isRefused(refusal{version: v, final: true})
 }
 
-// WantsFromPlatform reports whether Wants holds and the platform did not serve v damaged.
-func (s *Store) WantsFromPlatform(v ffconfig.Version) bool {
-	return v.NewerThan(s.Version()) && !s.isRefused(v, false)
+// WantsFromPlatform reports whether Wants holds and v did not come damaged from
+// the platform at this revision of the manifest.
+func (s *Store) WantsFromPlatform(v ffconfig.Version, revision uint64) bool {
+	return s.Wants(v) && !s.isRefused(refusal{version: v, revision: revision})
 }
 
-func (s *Store) isRefused(v ffconfig.Version, finalOnly bool) bool {
+func (s *Store) isRefused(r refusal) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.refusedBefore(v, finalOnly)
-}
-
-func (s *Store) refusedBefore(v ffconfig.Version, finalOnly bool) bool {
-	return slices.ContainsFunc(s.refused, func(r refusal) bool {
-		return r.version == v && (r.final || !finalOnly)
-	})
+	return slices.Contains(s.refused, r)
 }
 
 // Apply puts a version in force when it is newer and whole, and returns an error
@@ -107,7 +105,7 @@
 	if !v.NewerThan(s.Version()) {
 		return &Error{Op: "apply", Kind: KindOlder, Err: merry.Errorf("%v is not newer than %v", v, s.Version())}
 	}
-	if s.refusedBefore(v, true) {
+	if slices.Contains(s.refused, refusal{version: v, final: true}) {
 		return &Error{Op: "apply", Kind: KindRefused, Err: merry.Errorf("%v was refused before", v)}
 	}
 	snapshot, err := newSnapshot(m, v, pieces)
@@ -147,15 +145,16 @@
 	return &Error{Op: "apply", Kind: KindRefused, Err: err}
 }
 
-// RefuseFromPlatform marks a version that is not to be read from the platform again, with the reason.
-func (s *Store) RefuseFromPlatform(v ffconfig.Version, reason error) {
+// RefuseFromPlatform marks a version that came damaged from the platform at a
+// revision of the manifest, with the reason.
+func (s *Store) RefuseFromPlatform(v ffconfig.Version, revision uint64, reason error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refuse(refusal{version: v}, reason)
+	s.refuse(refusal{version: v, revision: revision}, reason)
 }
 
 func (s *Store) refuse(r refusal, reason error) {
-	if s.refusedBefore(r.version, r.final) {
+	if slices.Contains(s.refused, r) {
 		return
 	}
 	s.refused = appendBounded(s.refused, r, maxRefused)
