Work out the view's groups only where evidence touches them

A list keeps its groups; a view replaces only the data centres and services that its evidence touches.

Tests against a naive merge (rapid): any order and repeats of lists and evidence give the same view, before and after expiry; groups agree with the VMs one by one; differing buckets carry a list over; evidence is bounded.

--- /dev/null
+++ b/internal/ffmember/groups.go
@@ -0,0 +1,52 @@
+package ffmember
+
+import (
+	"cmp"
+	"slices"
+)
+
+// groups are live VMs in order of name: all, by data centre and by service.
+type groups struct {
+	all          []VM
+	byDataCentre map[string][]VM
+	byService    map[string][]VM
+}
+
+func groupsOf(vms []VM) groups {
+	g := groups{byDataCentre: make(map[string][]VM), byService: make(map[string][]VM)}
+	sortByName(vms)
+	for _, vm := range vms {
+		if vm.State != StateLive {
+			continue
+		}
+		g.all = append(g.all, vm)
+		g.byDataCentre[vm.DataCentre] = append(g.byDataCentre[vm.DataCentre], vm)
+		g.byService[vm.Service] = append(g.byService[vm.Service], vm)
+	}
+	return g
+}
+
+func sortByName(vms []VM) {
+	slices.SortFunc(vms, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// regroup returns the group without the VMs that evidence shows, and with those
+// of shown that belong to it.
+func regroup(group []VM, evidence map[string]Evidence, shown []VM, belongs func(VM) bool) []VM {
+	next := make([]VM, 0, len(group)+len(shown))
+	for _, vm := range group {
+		if _, ok := evidence[vm.Name]; !ok {
+			next = append(next, vm)
+		}
+	}
+	kept := len(next)
+	for _, vm := range shown {
+		if belongs(vm) {
+			next = append(next, vm)
+		}
+	}
+	if len(next) > kept {
+		sortByName(next)
+	}
+	return next
+}
--- a/internal/ffmember/list.go
+++ b/internal/ffmember/list.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -19,6 +21,10 @@
 	digest   uint64
 	byName   map[string]VM
 	buckets  [Buckets]uint64
+	inBucket [Buckets][]VM
+
+	once   sync.Once
+	groups groups
 }
 
 // NewList returns the list of vms at a revision. Of two VMs with one name the last counts.
@@ -33,7 +39,9 @@
 
 func (l *List) sum() {
 	for _, vm := range l.byName {
-		l.buckets[bucketOf(vm.Name)] += hashVM(vm)
+		b := bucketOf(vm.Name)
+		l.buckets[b] += hashVM(vm)
+		l.inBucket[b] = append(l.inBucket[b], vm)
 	}
 	for i, b := range l.buckets {
 		l.digest += hashPair(uint64(i), b)
@@ -74,19 +82,12 @@
 	return differing
 }
 
-// InBuckets returns the entries of the given buckets, by name.
+// InBuckets returns the entries of the given buckets.
 func (l *List) InBuckets(buckets []int) []VM {
-	var wanted [Buckets]bool
-	for _, b := range buckets {
-		wanted[b] = true
-	}
 	var vms []VM
-	for _, vm := range l.byName {
-		if wanted[bucketOf(vm.Name)] {
-			vms = append(vms, vm)
-		}
+	for _, b := range buckets {
+		vms = append(vms, l.inBucket[b]...)
 	}
-	sortByName(vms)
 	return vms
 }
 
@@ -99,16 +100,18 @@
 		}
 	}
 	kept := make([]VM, 0, len(l.byName)+len(vms))
-	for _, vm := range l.byName {
-		if !replaced[bucketOf(vm.Name)] {
-			kept = append(kept, vm)
+	for b, entries := range l.inBucket {
+		if !replaced[b] {
+			kept = append(kept, entries...)
 		}
 	}
 	return NewList(revision, append(kept, vms...))
 }
 
-func sortByName(vms []VM) {
-	slices.SortFunc(vms, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
+// live returns the groups of the live entries.
+func (l *List) live() *groups {
+	l.once.Do(func() { l.groups = groupsOf(slices.Collect(maps.Values(l.byName))) })
+	return &l.groups
 }
 
 func bucketOf(name string) int { return int(xxhash.Sum64String(name) % Buckets) }
--- a/internal/ffmember/view.go
+++ b/internal/ffmember/view.go
@@ -25,16 +25,12 @@
 	// They stay local, so that a partition does not spread accusations.
 	suspects map[string]time.Time
 
-	once  sync.Once
-	index index
-}
+	once   sync.Once
+	groups groups
+	digest uint64
 
-type index struct {
-	byName       map[string]VM
-	live         []VM
-	byDataCentre map[string][]VM
-	byService    map[string][]VM
-	digest       uint64
+	allOnce sync.Once
+	all     []VM
 }
 
 // List returns the latest list of the platform that the view knows.
@@ -160,74 +156,91 @@
 	return ok
 }
 
-// VM returns a VM by name with the state that the view gives it.
+// VM returns a VM by name with the state that the view gives it, and false when it is gone.
 func (v *View) VM(name string) (VM, bool) {
-	v.build()
-	vm, ok := v.index.byName[name]
-	return vm, ok
-}
-
-// Len returns the number of VMs that are not gone.
-func (v *View) Len() int {
-	v.build()
-	return len(v.index.byName)
+	vm, ok := v.List().VM(name)
+	if e, shown := v.evidence[name]; shown {
+		vm, ok = overlay(vm, e), true
+	}
+	return vm, ok && vm.State != StateGone
 }
 
 // All returns the live VMs, by name. The caller must not change the slice.
 func (v *View) All() []VM {
-	v.build()
-	return v.index.live
+	v.allOnce.Do(v.buildAll)
+	return v.all
 }
 
 // Live returns the live VMs of a service, by name. The caller must not change the slice.
 func (v *View) Live(service string) []VM {
-	v.build()
-	return v.index.byService[service]
+	v.once.Do(v.build)
+	return v.groups.byService[service]
 }
 
 // InDataCentre returns the live VMs of a data centre, by name. The caller must not change the slice.
 func (v *View) InDataCentre(dataCentre string) []VM {
-	v.build()
-	return v.index.byDataCentre[dataCentre]
+	v.once.Do(v.build)
+	return v.groups.byDataCentre[dataCentre]
 }
 
 // DataCentres returns the data centres that have a live VM, sorted.
 func (v *View) DataCentres() []string {
-	v.build()
-	return slices.Sorted(maps.Keys(v.index.byDataCentre))
+	v.once.Do(v.build)
+	return slices.Sorted(maps.Keys(v.groups.byDataCentre))
 }
 
 // EvidenceDigest returns a hash of all evidence.
 func (v *View) EvidenceDigest() uint64 {
-	v.build()
-	return v.index.digest
+	v.once.Do(v.build)
+	return v.digest
 }
 
-func (v *View) build() { v.once.Do(v.buildIndex) }
+// build groups the live VMs; the groups that evidence does not touch are those of the list.
+func (v *View) build() {
+	base := v.List().live()
+	v.groups.byDataCentre = maps.Clone(base.byDataCentre)
+	v.groups.byService = maps.Clone(base.byService)
+	shown := v.shown()
+	dataCentres, services := make(map[string]bool), make(map[string]bool)
+	for name, e := range v.evidence {
+		v.digest += e.hash()
+		listed, _ := v.List().VM(name)
+		for _, vm := range []VM{listed, e.VM} {
+			dataCentres[vm.DataCentre] = true
+			services[vm.Service] = true
+		}
+	}
+	for d := range dataCentres {
+		v.replace(v.groups.byDataCentre, d, shown, func(vm VM) bool { return vm.DataCentre == d })
+	}
+	for s := range services {
+		v.replace(v.groups.byService, s, shown, func(vm VM) bool { return vm.Service == s })
+	}
+}
 
-func (v *View) buildIndex() {
-	byName := make(map[string]VM, v.List().Len()+len(v.evidence))
-	for name, vm := range v.List().byName {
-		byName[name] = vm
+func (v *View) replace(byKey map[string][]VM, key string, shown []VM, belongs func(VM) bool) {
+	group := regroup(byKey[key], v.evidence, shown, belongs)
+	if len(group) == 0 {
+		delete(byKey, key)
+		return
 	}
+	byKey[key] = group
+}
+
+// shown returns the VMs that evidence shows as live.
+func (v *View) shown() []VM {
+	var shown []VM
 	for name, e := range v.evidence {
-		byName[name] = overlay(byName[name], e)
-		v.index.digest += e.hash()
-	}
-	maps.DeleteFunc(byName, func(_ string, vm VM) bool { return vm.State == StateGone })
-	v.index.byName = byName
-	v.index.byDataCentre = make(map[string][]VM)
-	v.index.byService = make(map[string][]VM)
-	for _, vm := range byName {
-		if vm.State == StateLive {
-			v.index.live = append(v.index.live, vm)
+		listed, _ := v.List().VM(name)
+		if vm := overlay(listed, e); vm.State == StateLive {
+			shown = append(shown, vm)
 		}
 	}
-	sortByName(v.index.live)
-	for _, vm := range v.index.live {
-		v.index.byDataCentre[vm.DataCentre] = append(v.index.byDataCentre[vm.DataCentre], vm)
-		v.index.byService[vm.Service] = append(v.index.byService[vm.Service], vm)
-	}
+	return shown
+}
+
+func (v *View) buildAll() {
+	v.all = regroup(v.List().live().all, v.evidence, v.shown(), func(VM) bool { return true })
 }
 
 // overlay returns the VM as evidence shows it. The list says leaving before the
