Share the reading of a large version among the readers

Cause: with the rate of the largest fleet a favoured daemon has 2 calls a second and a burst of 2 besides its watches, so a reader that fetches each piece alone does not bring a version of 13 new pieces into force within 5 s.

Readers of all data centres divide the missing pieces by rendezvous hash of the digest: each reads its own part from the platform and asks the others for theirs, which serve checked pieces before the version is in force.

TestBudgetOfLargestFleetIsEnough (36 daemons, rate of 5,200, versions of 3, 13 and 63 pieces): with sharing switched off on a scratch edit the versions of 13 and 63 pieces are not in force after 5 s; with it all are.

--- a/internal/ffdistribution/announce.go
+++ b/internal/ffdistribution/announce.go
@@ -49,7 +49,7 @@
 // enter the data centre here. For a child that does not answer it tells that
 // child's children.
 func (n *Node) announce(ctx context.Context, w news) {
-	order := ffplacement.Order(n.treeKey(w), n.reachable(n.Self.DataCentre))
+	order := ffplacement.Order(n.treeKey(w), reachable(n.Members.View(), n.Self.DataCentre))
 	targets := ffplacement.Children(n.Self.Name, order)
 	if w.foreign {
 		targets = union(ffplacement.Roots(order), targets)
@@ -127,16 +127,3 @@
 	}
 	return out, nil
 }
-
-// reachable returns the live VMs of a data centre that answered lately, as far as this daemon knows.
-func (n *Node) reachable(dataCentre string) []ffmember.VM {
-	view := n.Members.View()
-	vms := view.InDataCentre(dataCentre)
-	reachable := make([]ffmember.VM, 0, len(vms))
-	for _, vm := range vms {
-		if !view.Suspect(vm.Name) {
-			reachable = append(reachable, vm)
-		}
-	}
-	return reachable
-}
--- a/internal/ffdistribution/evidence.go
+++ b/internal/ffdistribution/evidence.go
@@ -118,9 +118,10 @@
 // foreignSample returns count random VMs of each other data centre.
 func (n *Node) foreignSample(count int) []ffmember.VM {
 	var sample []ffmember.VM
-	for _, d := range n.Members.View().DataCentres() {
+	view := n.Members.View()
+	for _, d := range view.DataCentres() {
 		if d != n.Self.DataCentre {
-			sample = append(sample, n.pick(n.reachable(d), count)...)
+			sample = append(sample, n.pick(reachable(view, d), count)...)
 		}
 	}
 	return sample
--- a/internal/ffdistribution/exchange.go
+++ b/internal/ffdistribution/exchange.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
-	"fireflyfall.dev/fireflyfall/internal/ffplacement"
 )
 
 const (
@@ -14,8 +13,6 @@
 	exchangeInterval = time.Second
 	// foreignEvery is the number of exchanges of which one goes to another data centre.
 	foreignEvery = 8
-	// standbyCount is the number of daemons next to the readers that watch over them.
-	standbyCount = 3
 )
 
 // runExchange compares notes with a random peer about every second, which
@@ -41,8 +38,8 @@
 			return vm, true
 		}
 	}
-	candidates := n.reachable(n.Self.DataCentre)
-	if before := n.before(candidates); len(before) > 0 && n.IntN(2) == 0 {
+	candidates := reachable(view, n.Self.DataCentre)
+	if before := n.before(); len(before) > 0 && n.IntN(2) == 0 {
 		candidates = before
 	}
 	if n.IntN(foreignEvery) == 0 {
@@ -66,19 +63,3 @@
 	}
 	return picked[0], true
 }
-
-// before returns the readers and standbys before this daemon in their order;
-// none when it is neither.
-func (n *Node) before(vms []ffmember.VM) []ffmember.VM {
-	order := n.readers(vms, ffplacement.ReaderCount+standbyCount)
-	for i, vm := range order {
-		if vm.Name == n.Self.Name {
-			return order[:i]
-		}
-	}
-	return nil
-}
-
-func (n *Node) readers(vms []ffmember.VM, count int) []ffmember.VM {
-	return ffplacement.FavouredReaders(vms, n.Self.DataCentre, count, n.Budget.Fraction())
-}
--- a/internal/ffdistribution/failure_test.go
+++ b/internal/ffdistribution/failure_test.go
@@ -1,12 +1,14 @@
 package ffdistribution_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffaudit"
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
 	"fireflyfall.dev/fireflyfall/internal/ffplacement"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
 // settle is the time that a fleet of the tests needs to start.
@@ -30,12 +32,10 @@
 		f.requireInForce(t, latest.version, convergence)
 		f.platform.serve(old)
 		for _, vm := range f.vms[:4] {
-			r := f.start(vm, f.platform)
+			f.start(vm, f.platform)
 			f.requireInForce(t, latest.version, settle)
-			if len(r.applied) != 1 {
-				t.Errorf("%s put %v in force, want only %v", vm.Name, r.applied, latest.version)
-			}
 		}
+		f.requireOnly(t, f.vms[:4], latest.version)
 	})
 }
 
@@ -165,11 +165,7 @@
 			f.start(vm, f.platform)
 		}
 		f.requireInForce(t, latest.version, settle)
-		for _, vm := range f.vms[:6] {
-			if applied := f.running[vm.Name].applied; len(applied) != 1 {
-				t.Errorf("%s put %v in force, want only %v", vm.Name, applied, latest.version)
-			}
-		}
+		f.requireOnly(t, f.vms[:6], latest.version)
 	})
 }
 
@@ -192,11 +188,7 @@
 		f.heal()
 		stale.setDown(false)
 		f.requireInForce(t, latest.version, settle)
-		for _, vm := range f.vms[:4] {
-			if applied := f.running[vm.Name].applied; len(applied) != 1 {
-				t.Errorf("%s put %v in force, want only %v", vm.Name, applied, latest.version)
-			}
-		}
+		f.requireOnly(t, f.vms[:4], latest.version)
 	})
 }
 
@@ -208,7 +200,7 @@
 		paused.Audit = trail
 		f.block(f.vms[0].Name, "")
 		f.block("", f.vms[0].Name)
-		paused.Platform.(*platform).setDown(true)
+		f.platform.setDown(true)
 		paused.Beat(time.Now().Add(time.Minute))
 		paused.Beat(time.Now())
 		advance(time.Minute)
@@ -219,6 +211,7 @@
 			t.Errorf("audited %v, want one pause", events)
 		}
 		f.heal()
+		f.platform.setDown(false)
 		f.requireInForce(t, newRelease(1, "a", false).version, settle)
 	})
 }
@@ -332,6 +325,16 @@
 	})
 }
 
+// requireOnly fails the test unless the daemons put this version in force and no other.
+func (f *fleet) requireOnly(t *testing.T, vms []ffmember.VM, want ffconfig.Version) {
+	t.Helper()
+	for _, vm := range vms {
+		if applied := f.running[vm.Name].applied; !slices.Equal(applied, []ffconfig.Version{want}) {
+			t.Errorf("%s put %v in force, want only %v", vm.Name, applied, want)
+		}
+	}
+}
+
 // requireState fails the test unless every daemon sees the VM of r in this state.
 func (f *fleet) requireState(t *testing.T, r *running, want ffmember.State) {
 	t.Helper()
--- a/internal/ffdistribution/fake_test.go
+++ b/internal/ffdistribution/fake_test.go
@@ -31,6 +31,11 @@
 // newRelease returns a version whose pieces all name its number and variant; a
 // faulty one has a route to a service that it lacks.
 func newRelease(number uint64, variant string, faulty bool) release {
+	return newLargeRelease(number, variant, faulty, 0)
+}
+
+// newLargeRelease returns a release with more routes.
+func newLargeRelease(number uint64, variant string, faulty bool, routes int) release {
 	service := ffconfig.Service{Name: fmt.Sprintf("desk-%d-%s", number, variant), Resources: []string{"trolleys"}, Slots: 2, LongSlots: 1, Connections: 4, QueueLength: 8}
 	route := ffconfig.Route{Name: "book", Method: "POST", Path: "/book", Service: service.Name, Resource: "trolleys", TimeoutMillis: 1000}
 	if faulty {
@@ -50,6 +55,12 @@
 	add(ffconfig.PieceService, service.Name, service)
 	add(ffconfig.PieceRoute, route.Name, route)
 	add(ffconfig.PieceRoute, common.Name, common)
+	for i := range routes {
+		more := common
+		more.Name = fmt.Sprintf("look-%d", i)
+		more.Path = fmt.Sprintf("/look/%d", i)
+		add(ffconfig.PieceRoute, more.Name, more)
+	}
 	var err error
 	if r.manifest, err = m.Encode(); err != nil {
 		panic(err)
@@ -100,6 +111,40 @@
 
 func (p *platform) setDown(down bool) { p.update(func() { p.down = down }) }
 
+// limited is the platform as one daemon sees it, within its budget.
+type limited struct {
+	*platform
+	budget *ffdistribution.Budget
+}
+
+func (l limited) Read(ctx context.Context, key string) (ffplatform.Value, error) {
+	if err := l.budget.Wait(ctx); err != nil {
+		return ffplatform.Value{}, err
+	}
+	return l.platform.Read(ctx, key)
+}
+
+func (l limited) Watch(ctx context.Context, key string, after uint64, until time.Time) (ffplatform.Value, error) {
+	if err := l.budget.Wait(ctx); err != nil {
+		return ffplatform.Value{}, err
+	}
+	return l.platform.Watch(ctx, key, after, until)
+}
+
+func (l limited) VMs(ctx context.Context) (ffplatform.VMList, error) {
+	if err := l.budget.Wait(ctx); err != nil {
+		return ffplatform.VMList{}, err
+	}
+	return l.platform.VMs(ctx)
+}
+
+func (l limited) WatchVMs(ctx context.Context, after uint64, until time.Time) (ffplatform.VMList, error) {
+	if err := l.budget.Wait(ctx); err != nil {
+		return ffplatform.VMList{}, err
+	}
+	return l.platform.WatchVMs(ctx, after, until)
+}
+
 func (p *platform) Read(_ context.Context, key string) (ffplatform.Value, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/ffdistribution/fetch.go
+++ b/internal/ffdistribution/fetch.go
@@ -77,10 +77,12 @@
 // from the platform what no peer gave.
 func (f *fetch) run(ctx context.Context, from origin) error {
 	if from.peer != "" {
-		f.fromPeer(ctx, from.peer)
+		f.fromPeer(ctx, from.peer, f.missing())
 		f.fromOthers(ctx, from.peer)
+	} else {
+		f.share(ctx)
 	}
-	f.fromPlatform(ctx)
+	f.fromPlatform(ctx, f.missing())
 	missing := f.missing()
 	if len(missing) == 0 {
 		return nil
@@ -95,20 +97,25 @@
 	if len(f.missing()) == 0 {
 		return
 	}
-	for _, vm := range f.n.pick(f.n.reachable(f.n.Self.DataCentre), otherPeers) {
+	for _, vm := range f.n.pick(reachable(f.n.Members.View(), f.n.Self.DataCentre), otherPeers) {
 		if vm.PeerAddress != first {
-			f.fromPeer(ctx, vm.PeerAddress)
+			f.fromPeer(ctx, vm.PeerAddress, f.missing())
 		}
 	}
 }
 
-// fromPeer asks one peer for what is missing, in parallel batches.
-func (f *fetch) fromPeer(ctx context.Context, address string) {
+// fromPeer asks one peer for pieces, in parallel batches.
+func (f *fetch) fromPeer(ctx context.Context, address string, refs []ffconfig.PieceRef) {
+	inParallel(batches(refs), func(refs []ffconfig.PieceRef) { f.batch(ctx, address, refs) })
+}
+
+// inParallel runs do for each item, a bounded number at once.
+func inParallel[T any](items []T, do func(T)) {
 	var group errgroup.Group
 	group.SetLimit(parallelFetches)
-	for _, refs := range batches(f.missing()) {
+	for _, item := range items {
 		group.Go(func() error {
-			f.batch(ctx, address, refs)
+			do(item)
 			return nil
 		})
 	}
@@ -150,17 +157,9 @@
 	}
 }
 
-// fromPlatform reads what is missing from the platform, within the budget.
-func (f *fetch) fromPlatform(ctx context.Context) {
-	var group errgroup.Group
-	group.SetLimit(parallelFetches)
-	for _, p := range f.missing() {
-		group.Go(func() error {
-			f.readPiece(ctx, p)
-			return nil
-		})
-	}
-	_ = group.Wait()
+// fromPlatform reads pieces from the platform, within the budget.
+func (f *fetch) fromPlatform(ctx context.Context, refs []ffconfig.PieceRef) {
+	inParallel(refs, func(p ffconfig.PieceRef) { f.readPiece(ctx, p) })
 }
 
 func (f *fetch) readPiece(ctx context.Context, p ffconfig.PieceRef) {
--- a/internal/ffdistribution/fleet_test.go
+++ b/internal/ffdistribution/fleet_test.go
@@ -1,6 +1,7 @@
 package ffdistribution_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -21,6 +22,8 @@
 	vms      []ffmember.VM
 	running  map[string]*running
 	starts   uint64
+	// fleetSize is the configured size; the number of VMs when zero.
+	fleetSize int
 
 	mu     sync.Mutex
 	faults []string
@@ -28,12 +31,11 @@
 
 // running is one run of a daemon.
 type running struct {
-	node     *ffdistribution.Node
-	platform *platform
-	cancel   context.CancelFunc
-	done     chan struct{}
-	mu       sync.Mutex
-	applied  []ffconfig.Version
+	node    *ffdistribution.Node
+	cancel  context.CancelFunc
+	done    chan struct{}
+	mu      sync.Mutex
+	applied []ffconfig.Version
 }
 
 func newFleet(dataCentres, each int) *fleet {
@@ -64,17 +66,17 @@
 func (f *fleet) start(vm ffmember.VM, p *platform) *running {
 	f.stop(vm)
 	f.starts++
-	r := &running{platform: p, done: make(chan struct{})}
+	r := &running{done: make(chan struct{})}
 	store := &ffdistribution.Store{OnApply: func(old, applied *ffconfig.Snapshot) { f.onApply(r, old, applied) }}
 	r.node = &ffdistribution.Node{
 		Self:        vm,
 		Incarnation: ffmember.NewIncarnation(time.Now(), f.starts),
 		Store:       store,
 		Members:     &ffdistribution.Members{},
-		Budget:      &ffdistribution.Budget{Name: vm.Name, FleetSize: len(f.vms)},
+		Budget:      &ffdistribution.Budget{Name: vm.Name, FleetSize: cmp.Or(f.fleetSize, len(f.vms))},
 		Peers:       link{network: f.network, from: vm.Name},
-		Platform:    p,
 	}
+	r.node.Platform = limited{platform: p, budget: r.node.Budget}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	f.network.set(func() { f.network.nodes[vm.Name] = r.node })
--- a/internal/ffdistribution/node.go
+++ b/internal/ffdistribution/node.go
@@ -73,6 +73,7 @@
 	rumours rumours
 	staged  staged
 	own     ownState
+	readers readers
 	counts  nodeCounts
 }
 
--- a/internal/ffdistribution/node_test.go
+++ b/internal/ffdistribution/node_test.go
@@ -1,8 +1,13 @@
 package ffdistribution_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffdistribution"
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffplacement"
 )
 
 // convergence is the time within which an accepted version is in force everywhere.
@@ -20,3 +25,41 @@
 		}
 	})
 }
+
+// largestFleet is the number of daemons of the fleet to come.
+const largestFleet = 5200
+
+// favourFew names the VMs so that each data centre has as many favoured ones as
+// it has readers, as a large data centre does.
+func (f *fleet) favourFew() {
+	f.fleetSize = largestFleet
+	fraction := (&ffdistribution.Budget{}).Fraction()
+	favoured := make(map[string]int)
+	for i := range f.vms {
+		vm := &f.vms[i]
+		want := favoured[vm.DataCentre] < ffplacement.ReaderCount
+		for tried := 0; ffplacement.Favoured(vm.Name, fraction) != want; tried++ {
+			vm.Name = fmt.Sprintf("%s-%d-%d", vm.DataCentre, i, tried)
+		}
+		vm.PeerAddress = vm.Name
+		favoured[vm.DataCentre]++
+	}
+	f.platform.list.VMs = append([]ffmember.VM{}, f.vms...)
+}
+
+// TestBudgetOfLargestFleetIsEnough spreads small and large versions while each
+// daemon keeps to its part of the platform's rate in a fleet of the largest size.
+func TestBudgetOfLargestFleetIsEnough(t *testing.T) {
+	inFleet(t, 6, 6, func(t *testing.T, f *fleet) {
+		f.favourFew()
+		f.platform.serve(newRelease(1, "a", false))
+		f.startAll()
+		f.requireInForce(t, newRelease(1, "a", false).version, 30*time.Second)
+		for i, routes := range []int{0, 10, 60} {
+			r := newLargeRelease(uint64(i+2), "a", false, routes)
+			f.platform.serve(r)
+			f.requireInForce(t, r.version, convergence)
+			advance(settle)
+		}
+	})
+}
--- a/internal/ffdistribution/reader.go
+++ b/internal/ffdistribution/reader.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
-	"fireflyfall.dev/fireflyfall/internal/ffplacement"
 	"fireflyfall.dev/fireflyfall/internal/ffplatform"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
@@ -23,22 +22,6 @@
 	vmBytes = 200
 )
 
-// role tells which of the platform's values this daemon reads.
-type role struct {
-	manifest, list bool
-}
-
-// role works out whether this daemon is among the readers of its data centre, by its own view.
-func (n *Node) role() role {
-	readers := n.readers(n.reachable(n.Self.DataCentre), ffplacement.ReaderCount)
-	for i, vm := range readers {
-		if vm.Name == n.Self.Name {
-			return role{manifest: true, list: i == 0}
-		}
-	}
-	return role{manifest: len(readers) == 0, list: len(readers) == 0}
-}
-
 // runManifestWatch watches the platform's manifest while this daemon is a reader.
 func (n *Node) runManifestWatch(ctx context.Context) error {
 	r := manifestReader{n: n, wait: newBackoff()}
--- a/internal/ffdistribution/startup.go
+++ b/internal/ffdistribution/startup.go
@@ -116,7 +116,7 @@
 	if n.Members.View().List().Len() == 0 {
 		n.readList(ctx)
 	}
-	sample := n.pick(n.reachable(n.Self.DataCentre), askedHere)
+	sample := n.pick(reachable(n.Members.View(), n.Self.DataCentre), askedHere)
 	sample = append(sample, n.foreignSample(askedThere)...)
 	addresses := make([]string, len(sample))
 	for i, vm := range sample {
--- a/internal/ffmember/view.go
+++ b/internal/ffmember/view.go
@@ -150,6 +150,9 @@
 // Incarnation returns the latest incarnation of a VM that evidence shows; zero when none does.
 func (v *View) Incarnation(name string) Incarnation { return v.evidence[name].Incarnation }
 
+// HasSuspects reports whether any VM did not answer this daemon lately.
+func (v *View) HasSuspects() bool { return len(v.suspects) > 0 }
+
 // Suspect reports whether the VM did not answer this daemon lately.
 func (v *View) Suspect(name string) bool {
 	_, ok := v.suspects[name]
