--- a/internal/ffstand/slots.go
+++ b/internal/ffstand/slots.go
@@ -30,15 +30,16 @@
 
 // acquire waits for a free slot and reports false when ctx is done first.
 func (s slots) acquire(ctx context.Context) bool {
-	if ctx.Err() != nil {
-		return false
-	}
 	select {
 	case s.running <- struct{}{}:
-		return true
 	case <-ctx.Done():
 		return false
 	}
+	if ctx.Err() != nil {
+		s.release()
+		return false
+	}
+	return true
 }
 
 // release gives back what acquire took.
