--- a/internal/ffdistribution/fake_test.go
+++ b/internal/ffdistribution/fake_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"fireflyfall.dev/fireflyfall/internal/ffdistribution"
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffplatform"
 	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
@@ -62,7 +64,7 @@
 	revision uint64
 	current  release
 	pieces   map[ffconfig.Digest][]byte
-	list     ffdistribution.VMList
+	list     ffplatform.VMList
 	changed  chan struct{}
 	down     bool
 	// damaged is the digest of a piece that is served damaged.
@@ -74,7 +76,7 @@
 	return &platform{
 		pieces:  make(map[ffconfig.Digest][]byte),
 		damaged: make(map[ffconfig.Digest]bool),
-		list:    ffdistribution.VMList{Revision: 1, VMs: vms},
+		list:    ffplatform.VMList{Revision: 1, VMs: vms},
 		changed: make(chan struct{}),
 	}
 }
@@ -98,27 +100,34 @@
 
 func (p *platform) setDown(down bool) { p.update(func() { p.down = down }) }
 
-func (p *platform) Manifest(context.Context) (ffdistribution.Value, error) {
+func (p *platform) Read(_ context.Context, key string) (ffplatform.Value, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
-	if p.down {
-		return ffdistribution.Value{}, errFault
+	content := p.current.manifest
+	digest, isPiece := strings.CutPrefix(key, ffplatform.PieceKey(""))
+	if isPiece {
+		content = p.pieces[ffconfig.Digest(digest)]
 	}
-	if p.revision == 0 {
-		return ffdistribution.Value{}, &ffdistribution.Error{Kind: ffdistribution.KindMissing, Err: errFault}
+	switch {
+	case p.down:
+		return ffplatform.Value{}, errFault
+	case content == nil:
+		return ffplatform.Value{}, &ffplatform.Error{Kind: ffplatform.KindNotFound, Err: errFault}
+	case p.damaged[ffconfig.Digest(digest)]:
+		return ffplatform.Value{}, &ffplatform.Error{Kind: ffplatform.KindMismatch, Err: errFault}
 	}
-	return ffdistribution.Value{Revision: p.revision, Content: p.current.manifest}, nil
+	return ffplatform.Value{Revision: p.revision, Content: content}, nil
 }
 
-func (p *platform) WatchManifest(ctx context.Context, after uint64, until time.Time) (ffdistribution.Value, error) {
+func (p *platform) Watch(ctx context.Context, key string, after uint64, until time.Time) (ffplatform.Value, error) {
 	for {
-		v, err := p.Manifest(ctx)
+		v, err := p.Read(ctx, key)
 		if err != nil || v.Revision != after {
 			return v, err
 		}
 		if !p.await(ctx, until) {
-			return ffdistribution.Value{Revision: after}, nil
+			return ffplatform.Value{Revision: after}, nil
 		}
 	}
 }
@@ -137,36 +146,23 @@
 	return false
 }
 
-func (p *platform) Piece(_ context.Context, d ffconfig.Digest) ([]byte, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	content, ok := p.pieces[d]
-	if p.down || !ok {
-		return nil, errFault
-	}
-	if p.damaged[d] {
-		return append([]byte("damaged"), content...), nil
-	}
-	return content, nil
-}
-
-func (p *platform) VMs(context.Context) (ffdistribution.VMList, error) {
+func (p *platform) VMs(context.Context) (ffplatform.VMList, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
-		return ffdistribution.VMList{}, errFault
+		return ffplatform.VMList{}, errFault
 	}
 	return p.list, nil
 }
 
-func (p *platform) WatchVMs(ctx context.Context, after uint64, until time.Time) (ffdistribution.VMList, error) {
+func (p *platform) WatchVMs(ctx context.Context, after uint64, until time.Time) (ffplatform.VMList, error) {
 	for {
 		l, err := p.VMs(ctx)
 		if err != nil || l.Revision != after {
 			return l, err
 		}
 		if !p.await(ctx, until) {
-			return ffdistribution.VMList{Revision: after}, nil
+			return ffplatform.VMList{Revision: after}, nil
 		}
 	}
 }
--- a/internal/ffdistribution/fetch.go
+++ b/internal/ffdistribution/fetch.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
+	"fireflyfall.dev/fireflyfall/internal/ffplatform"
 	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
@@ -163,15 +164,16 @@
 }
 
 func (f *fetch) readPiece(ctx context.Context, p ffconfig.PieceRef) {
-	content, err := f.n.Platform.Piece(ctx, p.Digest)
+	f.n.counts.platformCalls.Add(1)
+	value, err := f.n.Platform.Read(ctx, ffplatform.PieceKey(p.Digest))
 	if err == nil {
-		f.add(p, content)
+		f.add(p, value.Content)
 		return
 	}
 	f.n.Log.Debug().Err(err).Str("piece", p.Name).Msg("piece not read")
-	if KindOf(err) == KindCorrupt {
+	if ffplatform.KindOf(err) == ffplatform.KindMismatch {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.corrupt = err
+		f.corrupt = &Error{Op: "fetch", Kind: KindCorrupt, Err: err}
 	}
 }
--- a/internal/ffdistribution/node.go
+++ b/internal/ffdistribution/node.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffplatform"
 	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
-	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
 // Capacities of the queues between the duties of a node. What does not fit is
@@ -30,32 +30,18 @@
 	List(ctx context.Context, address string, in *ffprotocol.ListRequest) (*ffprotocol.ListResponse, error)
 }
 
-// Value is a value of the platform; a watch without a change returns the same
-// revision without content.
-type Value struct {
-	Revision uint64
-	Content  []byte
-}
-
-// VMList is the platform's list of VMs; a watch without a change returns the
-// same revision without VMs.
-type VMList struct {
-	Revision uint64
-	VMs      []ffmember.VM
-}
-
 // Platform reads the platform, within the budget of this daemon.
 type Platform interface {
-	// Manifest returns the manifest.
-	Manifest(ctx context.Context) (Value, error)
-	// Piece returns a piece by the digest of its content.
-	Piece(ctx context.Context, digest ffconfig.Digest) ([]byte, error)
-	// WatchManifest waits until the revision differs from after, or until the time given.
-	WatchManifest(ctx context.Context, after uint64, until time.Time) (Value, error)
+	// Read returns the value under key.
+	Read(ctx context.Context, key string) (ffplatform.Value, error)
+	// Watch waits until the revision of the value under key differs from after,
+	// or until the given time; then it returns the same revision without content.
+	Watch(ctx context.Context, key string, after uint64, until time.Time) (ffplatform.Value, error)
 	// VMs returns the list of VMs.
-	VMs(ctx context.Context) (VMList, error)
-	// WatchVMs waits until the revision differs from after, or until the time given.
-	WatchVMs(ctx context.Context, after uint64, until time.Time) (VMList, error)
+	VMs(ctx context.Context) (ffplatform.VMList, error)
+	// WatchVMs waits until the revision of the list differs from after, or until
+	// the given time; then it returns the same revision without VMs.
+	WatchVMs(ctx context.Context, after uint64, until time.Time) (ffplatform.VMList, error)
 }
 
 // Node is the distribution in one daemon. Its exported fields are set before Run.
--- a/internal/ffdistribution/reader.go
+++ b/internal/ffdistribution/reader.go
@@ -6,6 +6,7 @@
 
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
 	"fireflyfall.dev/fireflyfall/internal/ffplacement"
+	"fireflyfall.dev/fireflyfall/internal/ffplatform"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
@@ -87,12 +88,12 @@
 	return nil
 }
 
-func (r *manifestReader) next(ctx context.Context) (Value, error) {
+func (r *manifestReader) next(ctx context.Context) (ffplatform.Value, error) {
 	r.n.counts.platformCalls.Add(1)
 	if r.n.Budget.MayWatch() {
-		return r.n.Platform.WatchManifest(ctx, r.revision, time.Now().Add(watchTime))
+		return r.n.Platform.Watch(ctx, ffplatform.ManifestKey, r.revision, time.Now().Add(watchTime))
 	}
-	return r.n.Platform.Manifest(ctx)
+	return r.n.Platform.Read(ctx, ffplatform.ManifestKey)
 }
 
 // acceptManifest brings a manifest of the platform into force if it is newer.
@@ -153,7 +154,7 @@
 	revision := n.Members.View().List().Revision()
 	read := n.Platform.VMs
 	if n.Budget.MayWatch() {
-		read = func(ctx context.Context) (VMList, error) {
+		read = func(ctx context.Context) (ffplatform.VMList, error) {
 			return n.Platform.WatchVMs(ctx, revision, time.Now().Add(watchTime))
 		}
 	}
--- a/internal/ffdistribution/startup.go
+++ b/internal/ffdistribution/startup.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffplatform"
 	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
@@ -96,8 +97,8 @@
 
 func (n *Node) askPlatform(ctx context.Context, a *answers) error {
 	n.counts.platformCalls.Add(1)
-	value, err := n.Platform.Manifest(ctx)
-	if err != nil && KindOf(err) != KindMissing {
+	value, err := n.Platform.Read(ctx, ffplatform.ManifestKey)
+	if err != nil && ffplatform.KindOf(err) != ffplatform.KindNotFound {
 		return err
 	}
 	a.mu.Lock()
