Choice of target, retry decisions and limits by grants: API and first form

Weighed for the limits: leases of rates (need a ledger and a wait after each allocator's restart) against tokens that are minted in the cell's bucket and spent once. Tokens need no ledger: an allocator's restart, a lost or repeated message or a pause cannot mint twice.

--- /dev/null
+++ b/internal/fflimit/permit.go
@@ -0,0 +1,17 @@
+package fflimit
+
+// Permit lets one call be in flight. Release must be called exactly once, when
+// the call has ended. The zero value holds nothing.
+type Permit struct {
+	account *account
+}
+
+// Release returns the permit.
+func (p Permit) Release() {
+	if p.account == nil {
+		return
+	}
+	p.account.mu.Lock()
+	defer p.account.mu.Unlock()
+	p.account.inUse--
+}
--- /dev/null
+++ b/internal/ffretry/customer.go
@@ -0,0 +1,12 @@
+package ffretry
+
+import "sync"
+
+// budgetOf returns the budget of a customer, new at its first use.
+func budgetOf(budgets *sync.Map, customer string) *Budget {
+	if b, ok := budgets.Load(customer); ok {
+		return b.(*Budget)
+	}
+	b, _ := budgets.LoadOrStore(customer, &Budget{})
+	return b.(*Budget)
+}
--- /dev/null
+++ b/internal/ffretry/hedge.go
@@ -0,0 +1,41 @@
+package ffretry
+
+import (
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffcall"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+// Observe records how long an attempt on a route took until its whole answer.
+func (p *Policy) Observe(route string, latency time.Duration, now time.Time) {
+	p.latenciesOf(route).observe(latency, now)
+}
+
+// HedgeAt returns the time from which a call that started at start may be sent
+// to a second target, and whether it may be hedged at all.
+func (p *Policy) HedgeAt(c *ffconfig.Contract, call *ffcall.Call, start time.Time) (time.Time, bool) {
+	if c.HedgePercent <= 0 || !call.Route.Idempotent || call.Route.Class != ffconfig.ClassShort {
+		return time.Time{}, false
+	}
+	delay := p.latenciesOf(call.Route.Name).hedgeDelay()
+	at := start.Add(delay)
+	return at, delay > 0 && at.Before(call.Deadline)
+}
+
+// SpendHedge takes one hedged attempt and reports whether the budget and the
+// deadline allowed it.
+func (p *Policy) SpendHedge(c *ffconfig.Contract, call *ffcall.Call, now time.Time) bool {
+	if !now.Before(call.Deadline) {
+		return false
+	}
+	return budgetOf(&p.hedges, c.Customer).Spend(c.HedgePercent, now)
+}
+
+func (p *Policy) latenciesOf(route string) *latencies {
+	if l, ok := p.routes.Load(route); ok {
+		return l.(*latencies)
+	}
+	l, _ := p.routes.LoadOrStore(route, newLatencies())
+	return l.(*latencies)
+}
--- /dev/null
+++ b/internal/ffretry/latency.go
@@ -0,0 +1,72 @@
+package ffretry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Shape of the histograms. One digit keeps a route below 12 KB.
+const (
+	minLatencyMicros   = 1
+	maxLatencyMicros   = 60_000_000
+	significantFigures = 1
+	latencyWindows     = 2
+)
+
+// latencyWindow is the age at which a window of latencies gives way to the next.
+const latencyWindow = 10 * time.Second
+
+// hedgePercentile is the percentile of recent latencies after which a call is hedged.
+const hedgePercentile = 95
+
+// minSamples is the number of latencies below which no delay is known.
+const minSamples = 50
+
+// latencies holds the recent latencies of a route.
+type latencies struct {
+	mu       sync.Mutex
+	windows  *hdrhistogram.WindowedHistogram
+	rotateAt time.Time
+	samples  int
+	delay    time.Duration
+}
+
+func newLatencies() *latencies {
+	return &latencies{
+		windows: hdrhistogram.NewWindowed(latencyWindows, minLatencyMicros, maxLatencyMicros, significantFigures),
+	}
+}
+
+// observe adds the latency of one attempt.
+func (l *latencies) observe(latency time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	micros := min(max(latency.Microseconds(), minLatencyMicros), maxLatencyMicros)
+	_ = l.windows.Current.RecordValue(micros) // the value lies in the range
+	l.samples++
+	if l.samples >= minSamples && l.delay == 0 || !now.Before(l.rotateAt) {
+		l.rotate(now)
+	}
+}
+
+// rotate works out the delay and starts the next window.
+func (l *latencies) rotate(now time.Time) {
+	merged := l.windows.Merge()
+	if merged.TotalCount() >= minSamples {
+		l.delay = time.Duration(merged.ValueAtQuantile(hedgePercentile)) * time.Microsecond
+	}
+	if now.Before(l.rotateAt) {
+		return
+	}
+	l.rotateAt = now.Add(latencyWindow)
+	l.windows.Rotate()
+}
+
+// hedgeDelay returns the delay after which a call is hedged; zero when unknown.
+func (l *latencies) hedgeDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay
+}
