--- /dev/null
+++ b/internal/ffqueue/error.go
@@ -0,0 +1,28 @@
+package ffqueue
+
+import "fmt"
+
+//go:generate stringer -type=Kind,Decision -linecomment -output=enum_string.go
+
+// Kind tells why an item was not taken.
+type Kind int
+
+// Reasons why an item is not taken.
+const (
+	KindUnknown  Kind = iota // unknown
+	KindFull                 // full
+	KindDeadline             // deadline
+)
+
+// Error tells why an item was not taken.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("ffqueue: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
