--- /dev/null
+++ b/internal/ffgate/store.go
@@ -0,0 +1,192 @@
+package ffgate
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffcall"
+	"fireflyfall.dev/fireflyfall/internal/fftoken"
+)
+
+// Times for which an outcome is remembered after the call and its deadline have ended.
+const (
+	repeatableMemory = 10 * time.Second
+	durableMemory    = fftoken.Life + time.Minute
+)
+
+// store holds the records of one gate. No customer holds more than is free, in
+// records and in bytes, so one that floods leaves half to the others. It is not
+// safe for concurrent use.
+type store struct {
+	maxRecords int
+	maxBytes   int
+	records    int
+	bytes      int
+	byCall     map[callKey]*record
+	byToken    map[fftoken.ID]*record
+	ledgers    map[string]*ledger
+	expiries   expiries
+}
+
+func newStore(maxRecords, maxBytes int) *store {
+	return &store{
+		maxRecords: maxRecords,
+		maxBytes:   maxBytes,
+		byCall:     make(map[callKey]*record),
+		byToken:    make(map[fftoken.ID]*record),
+		ledgers:    make(map[string]*ledger),
+	}
+}
+
+// find returns the record that answers the attempt; nil when there is none. It
+// refuses an attempt that repeats an identifier with a different request.
+func (s *store) find(a attempt) (*record, *ffcall.Error) {
+	if r, ok := s.byCall[a.call]; ok {
+		if r.digest != a.digest && r.digest != 0 {
+			return nil, &ffcall.Error{Op: "find", Kind: ffcall.KindCrossed, Err: merry.New("the call identifier was used for another request")}
+		}
+		return r, nil
+	}
+	if !a.hasToken {
+		return nil, nil
+	}
+	r, ok := s.byToken[a.token]
+	if !ok {
+		return nil, nil
+	}
+	if r.digest != a.digest {
+		return nil, ffcall.Refuse("find", ffcall.KindToken, merry.New("the token was used for another request"))
+	}
+	if r.answers(a.call) {
+		s.byCall[a.call] = r
+	}
+	return r, nil
+}
+
+// begin records an attempt before the target may see it.
+func (s *store) begin(a attempt) (*record, *ffcall.Error) {
+	l := s.ledger(a.call.customer)
+	for l.records+1 > s.maxRecords-s.records-1 {
+		old := oldest(&l.evictable)
+		if old == nil {
+			return nil, ffcall.Refuse("begin", ffcall.KindOverload, merry.Errorf("%d outcomes of the customer are remembered", l.records))
+		}
+		s.evict(l, old)
+	}
+	r := &record{attempt: a, done: make(chan struct{}), calls: []callKey{a.call}}
+	s.byCall[a.call] = r
+	if a.hasToken {
+		s.byToken[a.token] = r
+	}
+	s.records++
+	l.records++
+	return r, nil
+}
+
+// finish records what became of a call. A call that did not run frees its token.
+func (s *store) finish(now time.Time, r *record, reply *ffcall.Reply, refusal *ffcall.Error) {
+	l := s.ledger(r.call.customer)
+	r.refusal = refusal
+	s.keepReply(l, r, reply)
+	memory := repeatableMemory
+	if r.durable || r.barred {
+		memory = durableMemory
+	}
+	r.expireAt = later(now, r.deadline).Add(memory)
+	if r.notRun() && r.hasToken {
+		delete(s.byToken, r.token)
+	}
+	heap.Push(&s.expiries, r)
+	l.keep(r)
+	close(r.done)
+}
+
+// keepReply stores a reply when the customer's part of the memory has room.
+func (s *store) keepReply(l *ledger, r *record, reply *ffcall.Reply) {
+	size := replySize(reply)
+	for l.bytes+size > s.maxBytes-s.bytes-size {
+		if old := oldest(&l.evictable); old != nil {
+			s.evict(l, old)
+		} else if old := oldest(&l.bodies); old != nil {
+			s.dropReply(l, old)
+			l.drop(old)
+		} else {
+			return
+		}
+	}
+	r.reply = reply
+	r.size = size
+	s.bytes += size
+	l.bytes += size
+}
+
+func (s *store) dropReply(l *ledger, r *record) {
+	s.bytes -= r.size
+	l.bytes -= r.size
+	r.reply = nil
+	r.size = 0
+}
+
+// evict forgets an ended record before its time.
+func (s *store) evict(l *ledger, r *record) {
+	l.forgotUntil = later(l.forgotUntil, r.expireAt)
+	heap.Remove(&s.expiries, r.index)
+	s.forget(l, r)
+}
+
+func (s *store) forget(l *ledger, r *record) {
+	s.dropReply(l, r)
+	l.drop(r)
+	for _, k := range r.calls {
+		delete(s.byCall, k)
+	}
+	if s.byToken[r.token] == r {
+		delete(s.byToken, r.token)
+	}
+	s.records--
+	l.records--
+}
+
+// sweep forgets the records that have expired.
+func (s *store) sweep(now time.Time) {
+	for len(s.expiries) > 0 && !now.Before(s.expiries[0].expireAt) {
+		r := heap.Pop(&s.expiries).(*record)
+		l := s.ledger(r.call.customer)
+		s.forget(l, r)
+		if l.records == 0 && now.After(l.forgotUntil) {
+			delete(s.ledgers, r.call.customer)
+		}
+	}
+}
+
+// bar records that a call which never came must not run. It reports false when
+// the gate cannot tell whether the call came.
+func (s *store) bar(now time.Time, k callKey, until time.Time, refusal *ffcall.Error) bool {
+	if now.Before(s.ledger(k.customer).forgotUntil) {
+		return false
+	}
+	r, err := s.begin(attempt{call: k, barred: true, deadline: until})
+	if err != nil {
+		return false
+	}
+	s.finish(now, r, nil, refusal)
+	return true
+}
+
+func (s *store) ledger(customer string) *ledger {
+	l, ok := s.ledgers[customer]
+	if !ok {
+		l = &ledger{}
+		s.ledgers[customer] = l
+	}
+	return l
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
