Daemon: the whole path from contract to answer

A call enters at any daemon, is admitted within its contract, and is forwarded at most once to the gate of the chosen target. A call with a token only counts as not run when its gate says so; every refusal before the gate leaves its outcome unknown.

--- a/internal/ffaudit/audit.go
+++ b/internal/ffaudit/audit.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 )
 
@@ -31,6 +32,17 @@
 // MarshalText returns the name of k.
 func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
+// UnmarshalText sets k from its name.
+func (k *Kind) UnmarshalText(text []byte) error {
+	for known := KindUnknown; known <= KindDaemonStarted; known++ {
+		if known.String() == string(text) {
+			*k = known
+			return nil
+		}
+	}
+	return merry.Errorf("%q is not a kind of change", text)
+}
+
 // Event is one change, with the daemon that made it.
 type Event struct {
 	At      time.Time `json:"at"`
--- a/internal/ffcall/error.go
+++ b/internal/ffcall/error.go
@@ -74,6 +74,18 @@
 	return &Error{Op: op, Kind: kind, Outcome: OutcomeNotRun, Err: err}
 }
 
+// Unproved returns err with an unknown outcome, for a call of which an earlier
+// attempt may have run.
+func Unproved(err error) error {
+	var e *Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	whole := *e
+	whole.Outcome = OutcomeUnknown
+	return &whole
+}
+
 // OutcomeOf returns the outcome that err carries; unknown when it carries none.
 func OutcomeOf(err error) Outcome {
 	var e *Error
--- /dev/null
+++ b/internal/ffcaller/handler.go
@@ -0,0 +1,212 @@
+package ffcaller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/xid"
+
+	"fireflyfall.dev/fireflyfall/internal/ffcall"
+	"fireflyfall.dev/fireflyfall/internal/ffentry"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+const (
+	// defaultBodyMemory bounds the memory that bodies in flight take, in bytes.
+	defaultBodyMemory = 256 << 20
+	// writeTimeout bounds the writing of an answer to a slow caller.
+	writeTimeout = 30 * time.Second
+	// maxTokenRequestBytes bounds the body of a request for a token, in bytes.
+	maxTokenRequestBytes = 4 << 10
+)
+
+// Entry takes calls to their answers.
+type Entry interface {
+	Authenticate(key string) (*ffconfig.Snapshot, *ffconfig.Contract, error)
+	Admit(ctx context.Context, s *ffconfig.Snapshot, c *ffconfig.Contract, method, path string) (*ffentry.Admission, error)
+	Serve(ctx context.Context, a *ffentry.Admission, call *ffcall.Call) (*ffcall.Reply, error)
+	Mint(ctx context.Context, s *ffconfig.Snapshot, c *ffconfig.Contract, route string) (string, error)
+}
+
+// Handler answers the requests of callers.
+type Handler struct {
+	Entry   Entry
+	Metrics *Metrics
+
+	memory      bodyMemory
+	connections connections
+}
+
+// NewHandler returns a handler over an entry.
+func NewHandler(entry *ffentry.Entry, metrics *Metrics) *Handler {
+	return &Handler{Entry: entry, Metrics: metrics, memory: bodyMemory{limit: defaultBodyMemory}}
+}
+
+// ServeHTTP takes one request to its answer.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	snapshot, contract, err := h.Entry.Authenticate(bearerKey(r))
+	if err != nil {
+		h.refuseCall(w, r, "", err)
+		return
+	}
+	if err := h.connections.claim(r.Context(), contract); err != nil {
+		w.Header().Set("Connection", "close")
+		h.refuseCall(w, r, contract.Customer, err)
+		return
+	}
+	if r.URL.Path == "/v1/tokens" {
+		h.serveToken(w, r, snapshot, contract)
+		return
+	}
+	h.serveCall(w, r, snapshot, contract, start)
+}
+
+func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request, snapshot *ffconfig.Snapshot, contract *ffconfig.Contract, start time.Time) {
+	w.Header().Set(headerVersion, snapshot.Version().String())
+	if r.Header.Get(headerRetry) == "true" && r.Header.Get(headerToken) == "" {
+		h.fail(w, contract.Customer, "", &ffcall.Error{Op: "retry", Kind: ffcall.KindToken, Err: merry.New("a retry without a token cannot be looked up, so it is not run")})
+		return
+	}
+	admission, err := h.Entry.Admit(r.Context(), snapshot, contract, r.Method, r.URL.Path)
+	if err != nil {
+		h.refuseCall(w, r, contract.Customer, err)
+		return
+	}
+	defer admission.Release()
+	deadline, err := deadlineOf(r, admission.Route, start)
+	if err != nil {
+		h.refuseCall(w, r, contract.Customer, err)
+		return
+	}
+	h.run(w, r, admission, deadline)
+	h.Metrics.observe(admission.Route.Name, time.Since(start))
+}
+
+// run reads the body of an admitted request, has it served and answers.
+func (h *Handler) run(w http.ResponseWriter, r *http.Request, a *ffentry.Admission, deadline time.Time) {
+	customer := a.Contract.Customer
+	reserved := max(r.ContentLength, 0)
+	if r.ContentLength < 0 {
+		reserved = a.Contract.MaxBodyBytes
+	}
+	if err := h.memory.take(customer, min(reserved, a.Contract.MaxBodyBytes)); err != nil {
+		h.refuseCall(w, r, customer, err)
+		return
+	}
+	defer h.memory.give(customer, min(reserved, a.Contract.MaxBodyBytes))
+	body, err := readBody(w, r, a.Contract.MaxBodyBytes, deadline)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		h.refuseCall(w, r, customer, err)
+		return
+	}
+	call := callOf(r, a, body, deadline)
+	reply, err := h.Entry.Serve(r.Context(), a, call)
+	if err != nil {
+		h.fail(w, customer, call.ID, err)
+		return
+	}
+	h.answer(w, call, reply)
+}
+
+func callOf(r *http.Request, a *ffentry.Admission, body []byte, deadline time.Time) *ffcall.Call {
+	return &ffcall.Call{
+		ID:       xid.New().String(),
+		Customer: a.Contract.Customer,
+		Share:    a.Contract.Share,
+		Route:    a.Route,
+		Token:    r.Header.Get(headerToken),
+		Deadline: deadline,
+		Method:   r.Method,
+		Path:     r.URL.RequestURI(),
+		Header:   endToEnd(r.Header),
+		Body:     body,
+		Version:  a.Version,
+	}
+}
+
+func (h *Handler) answer(w http.ResponseWriter, call *ffcall.Call, reply *ffcall.Reply) {
+	header := w.Header()
+	for field, values := range endToEnd(reply.Header) {
+		header[field] = values
+	}
+	header.Set(headerCallID, call.ID)
+	header.Set(headerOutcome, ffcall.OutcomeRan.String())
+	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	if reply.NextToken != "" {
+		header.Set(headerNextToken, reply.NextToken)
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+	h.Metrics.count(call.Customer, ffcall.OutcomeRan, "")
+}
+
+// refuseCall answers a call that did not reach its gate. With a token, an
+// earlier request may have run, so that only the gate can tell that it did not.
+func (h *Handler) refuseCall(w http.ResponseWriter, r *http.Request, customer string, err error) {
+	if r.Header.Get(headerToken) != "" {
+		err = ffcall.Unproved(err)
+	}
+	h.fail(w, customer, "", err)
+}
+
+func (h *Handler) fail(w http.ResponseWriter, customer, callID string, err error) {
+	if callID != "" {
+		w.Header().Set(headerCallID, callID)
+	}
+	now := time.Now()
+	_ = http.NewResponseController(w).SetWriteDeadline(now.Add(writeTimeout))
+	refuse(w, callID, err, now)
+	h.Metrics.count(customer, ffcall.OutcomeOf(err), ffcall.KindOf(err).String())
+}
+
+// deadlineOf returns the earlier of the route's deadline and the caller's.
+func deadlineOf(r *http.Request, route *ffconfig.Route, now time.Time) (time.Time, error) {
+	millis := route.TimeoutMillis
+	if asked := r.Header.Get(headerTimeoutMillis); asked != "" {
+		n, err := strconv.ParseInt(asked, 10, 64)
+		if err != nil || n < 1 {
+			return time.Time{}, ffcall.Refuse("read header", ffcall.KindMalformed, merry.Errorf("%s is %q, a whole number of at least 1 is allowed", headerTimeoutMillis, asked))
+		}
+		millis = min(millis, n)
+	}
+	return now.Add(time.Duration(millis) * time.Millisecond), nil
+}
+
+// tokenRequest is the body of a request for a token.
+type tokenRequest struct {
+	Route string `json:"route"`
+}
+
+// tokenResponse is the body of the answer to a request for a token.
+type tokenResponse struct {
+	Token string `json:"token"`
+}
+
+func (h *Handler) serveToken(w http.ResponseWriter, r *http.Request, snapshot *ffconfig.Snapshot, contract *ffconfig.Contract) {
+	if r.Method != http.MethodPost {
+		h.fail(w, contract.Customer, "", ffcall.Refuse("mint", ffcall.KindNoRoute, merry.New("tokens are minted with POST")))
+		return
+	}
+	var asked tokenRequest
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTokenRequestBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&asked); err != nil {
+		h.fail(w, contract.Customer, "", ffcall.Refuse("mint", ffcall.KindMalformed, err))
+		return
+	}
+	token, err := h.Entry.Mint(r.Context(), snapshot, contract, asked.Route)
+	if err != nil {
+		h.fail(w, contract.Customer, "", err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(tokenResponse{Token: token})
+}
--- /dev/null
+++ b/internal/ffcommand/daemon.go
@@ -0,0 +1,27 @@
+package ffcommand
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"fireflyfall.dev/fireflyfall/internal/ffdaemon"
+)
+
+// Daemon runs the process beside a target.
+type Daemon struct {
+	ffdaemon.Settings
+}
+
+// Run serves until ctx ends, then leaves without cutting a call.
+func (d *Daemon) Run(ctx context.Context, _, stderr io.Writer) error {
+	err := ffdaemon.Run(ctx, d.Settings, stderr)
+	var e *ffdaemon.Error
+	if errors.As(err, &e) && e.Kind == ffdaemon.KindSettings {
+		return &Error{Op: "daemon", Kind: KindUsage, Err: err}
+	}
+	if err != nil {
+		return &Error{Op: "daemon", Kind: KindFailed, Err: err}
+	}
+	return nil
+}
--- a/internal/ffforward/server.go
+++ b/internal/ffforward/server.go
@@ -16,22 +16,20 @@
 // Gate is the only way to the target beside the daemon.
 type Gate interface {
 	Do(ctx context.Context, c *ffcall.Call) (*ffcall.Reply, error)
-	// Attempt tells what became of an attempt, without waiting; an attempt that
-	// has not been seen is refused from then on.
-	Attempt(customer, callID string) (reply *ffcall.Reply, running bool, err error)
+	// Settle waits until the given time for what became of an attempt; an attempt
+	// that never came is refused from then on.
+	Settle(ctx context.Context, callID, customer string, incarnation uint64, until time.Time) (*ffcall.Reply, error)
 	Mint(customer, route string) (string, error)
 	Load() ffcall.Load
 }
 
 // Snapshots gives the configuration in force.
 type Snapshots interface {
-	Current() *ffconfig.Snapshot
+	Snapshot() *ffconfig.Snapshot
 }
 
-// Versions is told the version of each daemon that sends a call.
-type Versions interface {
-	Learn(v ffconfig.Version, address string)
-}
+// settleWait bounds the wait for the end of an attempt that is looked up.
+const settleWait = 200 * time.Millisecond
 
 // Server takes calls from other daemons and puts them to the gate.
 type Server struct {
@@ -67,7 +65,7 @@
 }
 
 func (s *Server) call(r *ffprotocol.ForwardRequest, now time.Time) (*ffcall.Call, error) {
-	snapshot := s.Snapshots.Current()
+	snapshot := s.Snapshots.Snapshot()
 	if snapshot == nil {
 		return nil, ffcall.Refuse("forward", ffcall.KindNotReady, merry.New("no version is in force"))
 	}
@@ -103,19 +101,20 @@
 }
 
 // Outcome tells what became of an attempt.
-func (s *Server) Outcome(_ context.Context, r *ffprotocol.OutcomeRequest) (*ffprotocol.OutcomeResponse, error) {
+func (s *Server) Outcome(ctx context.Context, r *ffprotocol.OutcomeRequest) (*ffprotocol.OutcomeResponse, error) {
 	if r.GetIncarnation() != s.Incarnation {
 		lost := &ffcall.Error{Op: "outcome", Kind: ffcall.KindUnreachable, Err: merry.New("the daemon that took the attempt has restarted")}
 		return &ffprotocol.OutcomeResponse{Response: s.refusal(r.GetCallId(), lost)}, nil
 	}
-	reply, running, err := s.Gate.Attempt(r.GetCustomer(), r.GetCallId())
+	until := time.Now().Add(settleWait)
+	reply, err := s.Gate.Settle(ctx, r.GetCallId(), r.GetCustomer(), s.Incarnation, until)
 	switch {
-	case running:
+	case err == nil:
+		return &ffprotocol.OutcomeResponse{Response: answerOf(r.GetCallId(), reply)}, nil
+	case ffcall.OutcomeOf(err) == ffcall.OutcomeUnknown && !time.Now().Before(until):
 		return &ffprotocol.OutcomeResponse{Running: true}, nil
-	case err != nil:
-		return &ffprotocol.OutcomeResponse{Response: s.refusal(r.GetCallId(), err)}, nil
 	}
-	return &ffprotocol.OutcomeResponse{Response: answerOf(r.GetCallId(), reply)}, nil
+	return &ffprotocol.OutcomeResponse{Response: s.refusal(r.GetCallId(), err)}, nil
 }
 
 // Hello names the daemon.
