Relay that injects faults into TCP connections

A connection that lost bytes stays silent for good, for a stream with a hole would be a fault that TCP never shows; bytes kept back by a partition are a fault of their own (held) and arrive when it ends. A cut closes the listener, so that new connections are refused and not just reset.

Seen to fail on scratch edits: bytes after lost ones, open connections that are not silenced, an offset that does not start anew at each fault, an end of stream in place of a reset.

--- /dev/null
+++ b/internal/ffrelay/relay_test.go
@@ -0,0 +1,206 @@
+package ffrelay_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	_ "fireflyfall.dev/fireflyfall/internal/ffseed" // fixes the seed
+
+	"fireflyfall.dev/fireflyfall/internal/ffrelay"
+)
+
+// silenceLimit is how long tests listen for bytes that must not come.
+const silenceLimit = 50 * time.Millisecond
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// tester is what the tests and the property tests have in common.
+type tester interface {
+	Cleanup(f func())
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+	Helper()
+}
+
+// start returns a relay in front of an upstream that sends back what it gets.
+func start(t tester) *ffrelay.Relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var loops sync.WaitGroup
+	loops.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			loops.Go(func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			})
+		}
+	})
+	t.Cleanup(loops.Wait)
+	t.Cleanup(func() { _ = listener.Close() })
+	r, err := ffrelay.New("127.0.0.1:0", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+func setFault(t tester, r *ffrelay.Relay, f ffrelay.Fault) {
+	t.Helper()
+	if err := r.SetFault(f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func open(t tester, r *ffrelay.Relay) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func send(t tester, c net.Conn, text string) {
+	t.Helper()
+	if _, err := c.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func expect(t tester, c net.Conn, text string) {
+	t.Helper()
+	got := make([]byte, len(text))
+	if n, err := io.ReadFull(c, got); err != nil || string(got) != text {
+		t.Fatalf("got %q, want %q, error %v", got[:n], text, err)
+	}
+}
+
+func expectSilence(t tester, c net.Conn) {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
+		t.Fatal(err)
+	}
+	n, err := c.Read(make([]byte, 1))
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("%d bytes, error %v, where silence was due", n, err)
+	}
+	_ = c.SetReadDeadline(time.Time{})
+}
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := start(t)
+		c := open(t, r)
+		var sent bytes.Buffer
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			setFault(t, r, ffrelay.Fault{
+				Kind:      rapid.SampledFrom([]ffrelay.FaultKind{ffrelay.FaultNone, ffrelay.FaultDelay, ffrelay.FaultHeld}).Draw(t, "fault"),
+				Direction: rapid.SampledFrom([]ffrelay.Direction{ffrelay.DirectionBoth, ffrelay.DirectionUpstream, ffrelay.DirectionClient}).Draw(t, "direction"),
+				Delay:     time.Millisecond,
+			})
+			part := rapid.SliceOfN(rapid.Byte(), 1, 100).Draw(t, "part")
+			sent.Write(part)
+			send(t, c, string(part))
+		}
+		setFault(t, r, ffrelay.Fault{})
+		_ = c.(*net.TCPConn).CloseWrite()
+		got, err := io.ReadAll(c)
+		if err != nil || !bytes.Equal(got, sent.Bytes()) {
+			t.Fatalf("got %x, sent %x, error %v", got, sent.Bytes(), err)
+		}
+	})
+}
+
+func TestCutResetsAndRefuses(t *testing.T) {
+	r := start(t)
+	c := open(t, r)
+	send(t, c, "one")
+	expect(t, c, "one")
+	for range 2 {
+		setFault(t, r, ffrelay.Fault{Kind: ffrelay.FaultCut})
+		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+			t.Fatalf("open connection ends with %v", err)
+		}
+		if refused, err := net.Dial("tcp", r.Address()); err == nil {
+			_ = refused.Close()
+			t.Fatal("new connection accepted")
+		}
+		setFault(t, r, ffrelay.Fault{})
+		c = open(t, r)
+		send(t, c, "two")
+		expect(t, c, "two")
+	}
+}
+
+func TestOpenConnectionsGoSilent(t *testing.T) {
+	r := start(t)
+	old := open(t, r)
+	send(t, old, "one")
+	expect(t, old, "one")
+	setFault(t, r, ffrelay.Fault{Kind: ffrelay.FaultSilentOpen})
+	fresh := open(t, r)
+	send(t, fresh, "two")
+	expect(t, fresh, "two")
+	send(t, old, "three")
+	expectSilence(t, old)
+	setFault(t, r, ffrelay.Fault{})
+	expectSilence(t, old)
+}
+
+func TestLostBytesSilenceForGood(t *testing.T) {
+	for _, direction := range []ffrelay.Direction{ffrelay.DirectionBoth, ffrelay.DirectionUpstream, ffrelay.DirectionClient} {
+		t.Run(direction.String(), func(t *testing.T) {
+			r := start(t)
+			old, idle := open(t, r), open(t, r)
+			setFault(t, r, ffrelay.Fault{Kind: ffrelay.FaultSilent, Direction: direction})
+			send(t, old, "lost")
+			expectSilence(t, old)
+			setFault(t, r, ffrelay.Fault{})
+			send(t, old, "late")
+			expectSilence(t, old)
+			send(t, idle, "new")
+			expect(t, idle, "new")
+		})
+	}
+}
+
+func TestHeldBytesArriveLater(t *testing.T) {
+	r := start(t)
+	c := open(t, r)
+	setFault(t, r, ffrelay.Fault{Kind: ffrelay.FaultHeld, Direction: ffrelay.DirectionClient})
+	send(t, c, "late")
+	expectSilence(t, c)
+	setFault(t, r, ffrelay.Fault{})
+	expect(t, c, "late")
+}
+
+func TestTruncateAndCorruptInTheMiddle(t *testing.T) {
+	r := start(t)
+	c := open(t, r)
+	setFault(t, r, ffrelay.Fault{Kind: ffrelay.FaultCorrupt, Direction: ffrelay.DirectionClient, AfterBytes: 2})
+	send(t, c, "aaaa")
+	expect(t, c, "aa`a")
+	setFault(t, r, ffrelay.Fault{Kind: ffrelay.FaultTruncate, Direction: ffrelay.DirectionClient, AfterBytes: 3})
+	send(t, c, "aaaa")
+	if got, err := io.ReadAll(c); string(got) != "aaa" {
+		t.Fatalf("got %q, error %v", got, err)
+	}
+}
