--- a/internal/ffdistribution/reader.go
+++ b/internal/ffdistribution/reader.go
@@ -129,41 +129,49 @@
 
 // runListWatch watches the platform's list of VMs while this daemon is its reader.
 func (n *Node) runListWatch(ctx context.Context) error {
+	r := listReader{n: n}
 	wait := newBackoff()
 	for ctx.Err() == nil {
 		if !n.learnt.Load() || !n.role().list {
 			_ = waitUntil(ctx, time.Now().Add(roleInterval))
 			continue
 		}
-		pause, err := n.watchList(ctx)
+		until, err := r.step(ctx)
 		if err != nil {
 			n.Log.Debug().Err(err).Msg("VM list not read")
-			pause = wait.NextBackOff()
+			until = time.Now().Add(wait.NextBackOff())
 		} else {
 			wait.Reset()
 		}
-		_ = waitUntil(ctx, time.Now().Add(pause))
+		_ = waitUntil(ctx, until)
 	}
 	return nil
 }
 
-// watchList waits for one change of the list and returns how long to leave the
-// platform alone, so that a long list does not cost more than its bytes a second.
-func (n *Node) watchList(ctx context.Context) (time.Duration, error) {
-	n.counts.platformCalls.Add(1)
-	revision := n.Members.View().List().Revision()
-	read := n.Platform.VMs
-	if n.Budget.MayWatch() {
-		read = func(ctx context.Context) (ffplatform.VMList, error) {
-			return n.Platform.WatchVMs(ctx, revision, time.Now().Add(watchTime))
-		}
+// listReader follows the platform's list of VMs.
+type listReader struct {
+	n        *Node
+	revision uint64
+}
+
+// step waits for one change of the list and returns until when to leave the
+// platform alone, so that a long list costs no more than its bytes a second.
+func (r *listReader) step(ctx context.Context) (time.Time, error) {
+	list, err := r.next(ctx)
+	if err != nil || list.Revision == r.revision {
+		return time.Time{}, err
 	}
-	list, err := read(ctx)
-	if err != nil || list.Revision == revision {
-		return 0, err
+	r.revision = list.Revision
+	r.n.acceptList(ffmember.NewList(list.Revision, list.VMs), true)
+	return time.Now().Add(time.Duration(len(list.VMs)*vmBytes) * time.Second / listBytesPerSecond), nil
+}
+
+func (r *listReader) next(ctx context.Context) (ffplatform.VMList, error) {
+	r.n.counts.platformCalls.Add(1)
+	if r.n.Budget.MayWatch() {
+		return r.n.Platform.WatchVMs(ctx, r.revision, time.Now().Add(watchTime))
 	}
-	n.acceptList(ffmember.NewList(list.Revision, list.VMs), true)
-	return time.Duration(len(list.VMs)*vmBytes) * time.Second / listBytesPerSecond, nil
+	return r.n.Platform.VMs(ctx)
 }
 
 // acceptList takes a list that is newer and passes it on.
