--- /dev/null
+++ b/internal/ffprocess/address.go
@@ -0,0 +1,45 @@
+package ffprocess
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// firstPort and lastPort bound the ports that processes get; they lie below
+	// those that the system gives to outgoing connections.
+	firstPort = 12000
+	lastPort  = 32000
+	// maxPortTries bounds the ports that are tried for one address.
+	maxPortTries = 1000
+)
+
+// FreeAddresses returns n different loopback addresses (host and port) on which
+// nothing listens now.
+func FreeAddresses(n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for range n {
+		listener, err := listenAnywhere()
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func listenAnywhere() (net.Listener, error) {
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	for range maxPortTries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(loopback, uint16(port)).String())
+		if err == nil {
+			return listener, nil
+		}
+	}
+	return nil, &Error{Op: "find address", Kind: KindAddress, Err: merry.New("no free port")}
+}
