Deployments as processes, the demo, and a client for callers

scripts/demo sicily and scripts/demo ulaanbaatar start the platform's stand-in, and a target and a daemon for each VM; they publish a version, call through each data centre, repeat a call with one token, amend a contract, flood as the careless customer, and stop a VM in the middle of an upload.

Partitions between data centres: the daemons of each data centre connect from an address of their own, and a relay before each daemon chooses the fault by the source. Weighed: a VM list for each data centre (the platform has one for all) and network namespaces (isolation tools are ruled out).

--- /dev/null
+++ b/cmd/fireflyload/main.go
@@ -0,0 +1,22 @@
+// Program fireflyload runs deployments of fireflyfall as processes on loopback:
+// a demo, load, experiments and a soak.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"fireflyfall.dev/fireflyfall/internal/ffload"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return ffload.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
--- a/internal/ffdaemon/provide.go
+++ b/internal/ffdaemon/provide.go
@@ -1,9 +1,11 @@
 package ffdaemon
 
 import (
+	"cmp"
 	crand "crypto/rand"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/google/wire"
@@ -37,6 +39,7 @@
 var providers = wire.NewSet(
 	provideSelf,
 	provideIncarnation,
+	provideDialer,
 	provideTrail,
 	provideRegistry,
 	provideState,
@@ -54,7 +57,7 @@
 	provideBudget,
 	providePlatform,
 	wire.Struct(new(ffpeer.Meter)),
-	wire.Struct(new(ffpeer.Pool), "Meter"),
+	providePool,
 	wire.Struct(new(ffpeer.Client), "*"),
 	provideNode,
 	providePeerServer,
@@ -69,7 +72,7 @@
 	provideLimitHandler,
 	provideChooser,
 	provideRetry,
-	wire.Struct(new(ffforward.Client)),
+	provideRemote,
 	provideForwardHandler,
 	provideForwardServer,
 	provideEntry,
@@ -82,8 +85,8 @@
 		Name:            s.Name,
 		DataCentre:      s.DataCentre,
 		Service:         s.Service,
-		PeerAddress:     s.PeerAddress,
-		ForwardAddress:  s.ForwardAddress,
+		PeerAddress:     cmp.Or(s.PeerAdvertised, s.PeerAddress),
+		ForwardAddress:  cmp.Or(s.CallAdvertised, s.ForwardAddress),
 		OperatorAddress: s.OperatorAddress,
 	}
 }
@@ -116,10 +119,16 @@
 	return &ffdistribution.Budget{Name: s.Name, Ceiling: s.PlatformRate, FleetSize: s.MaxFleet}
 }
 
-func providePlatform(s Settings, budget *ffdistribution.Budget) *ffplatform.Client {
-	return ffplatform.NewClient(s.Platform, budget)
+func providePlatform(s Settings, budget *ffdistribution.Budget, d *net.Dialer) *ffplatform.Client {
+	return ffplatform.NewClient(s.Platform, budget, d.DialContext)
 }
 
+func providePool(meter *ffpeer.Meter, d *net.Dialer) *ffpeer.Pool {
+	return &ffpeer.Pool{Meter: meter, DialContext: d.DialContext}
+}
+
+func provideRemote(d *net.Dialer) *ffforward.Client { return &ffforward.Client{Dialer: d} }
+
 func provideNode(
 	s Settings, log zerolog.Logger, self ffmember.VM, incarnation ffmember.Incarnation, trail *ffaudit.Trail,
 	store *ffdistribution.Store, members *ffdistribution.Members, budget *ffdistribution.Budget,
--- a/internal/ffdaemon/settings.go
+++ b/internal/ffdaemon/settings.go
@@ -20,6 +20,8 @@
 	CallerAddress   string        `arg:"--caller-address,env:FIREFLYFALL_CALLER_ADDRESS,required" placeholder:"IP:PORT" help:"address for callers"`
 	PeerAddress     string        `arg:"--peer-address,env:FIREFLYFALL_PEER_ADDRESS,required" placeholder:"IP:PORT" help:"address for the control messages of other daemons"`
 	ForwardAddress  string        `arg:"--forward-address,env:FIREFLYFALL_FORWARD_ADDRESS,required" placeholder:"IP:PORT" help:"address for calls from other daemons"`
+	PeerAdvertised  string        `arg:"--peer-advertised,env:FIREFLYFALL_PEER_ADVERTISED" placeholder:"IP:PORT" help:"address for control messages as other daemons reach it, when it differs"`
+	CallAdvertised  string        `arg:"--forward-advertised,env:FIREFLYFALL_FORWARD_ADVERTISED" placeholder:"IP:PORT" help:"address for calls as other daemons reach it, when it differs"`
 	OperatorAddress string        `arg:"--operator-address,env:FIREFLYFALL_OPERATOR_ADDRESS,required" placeholder:"IP:PORT" help:"address for operators; keep it closed to callers"`
 	OperatorKey     string        `arg:"--operator-key,env:FIREFLYFALL_OPERATOR_KEY" placeholder:"KEY" help:"key that operators must send; none is asked when empty"`
 	Platform        []string      `arg:"--platform,env:FIREFLYFALL_PLATFORM,required" placeholder:"IP:PORT" help:"addresses of the platform, tried in turn"`
@@ -48,6 +50,8 @@
 	f.address("peer-address", s.PeerAddress)
 	f.address("forward-address", s.ForwardAddress)
 	f.address("operator-address", s.OperatorAddress)
+	f.optionalAddress("peer-advertised", s.PeerAdvertised)
+	f.optionalAddress("forward-advertised", s.CallAdvertised)
 	f.addresses("platform", s.Platform)
 	f.addresses("peers", s.Peers)
 	f.require(s.PlatformRate > 0 && s.PlatformRate <= maxPlatformRate, "platform-rate", s.PlatformRate, "above 0 and at most 1000000")
@@ -80,6 +84,12 @@
 	f.require(err == nil, flag, value, "an IP address and a port, as 10.0.0.7:8080")
 }
 
+func (f *faults) optionalAddress(flag, value string) {
+	if value != "" {
+		f.address(flag, value)
+	}
+}
+
 func (f *faults) addresses(flag string, values []string) {
 	for _, v := range values {
 		f.address(flag, v)
--- a/internal/ffdaemon/wire_gen.go
+++ b/internal/ffdaemon/wire_gen.go
@@ -8,7 +8,6 @@
 
 import (
 	"fireflyfall.dev/fireflyfall/internal/ffcaller"
-	"fireflyfall.dev/fireflyfall/internal/ffforward"
 	"fireflyfall.dev/fireflyfall/internal/ffpeer"
 	"github.com/rs/zerolog"
 )
@@ -24,13 +23,15 @@
 	members := provideMembers(trail)
 	budget := provideBudget(s)
 	meter := &ffpeer.Meter{}
-	pool := &ffpeer.Pool{
-		Meter: meter,
+	dialer, err := provideDialer(s)
+	if err != nil {
+		return nil, err
 	}
+	pool := providePool(meter, dialer)
 	client := &ffpeer.Client{
 		Pool: pool,
 	}
-	ffplatformClient := providePlatform(s, budget)
+	ffplatformClient := providePlatform(s, budget, dialer)
 	node := provideNode(s, log, vm, incarnation, trail, store, members, budget, client, ffplatformClient, registry)
 	ffdaemonState := provideState(vm, incarnation, node, store, members)
 	limiter := provideLimiter(s, incarnation)
@@ -42,7 +43,7 @@
 	}
 	chooser := provideChooser(s)
 	policy := provideRetry()
-	ffforwardClient := &ffforward.Client{}
+	ffforwardClient := provideRemote(dialer)
 	entry := provideEntry(s, store, members, limiter, chooser, policy, gate, ffforwardClient)
 	metrics := ffcaller.NewMetrics(registry)
 	handler := ffcaller.NewHandler(entry, metrics)
--- a/internal/ffforward/client.go
+++ b/internal/ffforward/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -30,14 +31,25 @@
 	// a second when zero.
 	Silence time.Duration
 
+	// Dialer makes the connections; one without a source address when nil.
+	Dialer *net.Dialer
+
 	pool pool
 }
 
+// get returns an idle connection to vm or makes one.
+func (c *Client) get(ctx context.Context, vm ffmember.VM) (*conn, error) {
+	if idle := c.pool.take(vm.ForwardAddress, time.Now()); idle != nil {
+		return idle, nil
+	}
+	return c.dial(ctx, vm)
+}
+
 // Do runs one attempt of c at the daemon of vm. Its error is an *ffcall.Error.
 func (c *Client) Do(ctx context.Context, vm ffmember.VM, call *ffcall.Call) (*ffcall.Reply, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(answerGrace))
 	defer cancel()
-	conn, err := c.pool.get(ctx, vm)
+	conn, err := c.get(ctx, vm)
 	if err != nil {
 		return nil, ffcall.Refuse("dial", ffcall.KindUnreachable, err)
 	}
@@ -117,7 +129,7 @@
 func (c *Client) lookUp(ctx context.Context, a *attempt, incarnation uint64) (result, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
 	defer cancel()
-	conn, err := dial(ctx, a.vm)
+	conn, err := c.dial(ctx, a.vm)
 	if err != nil {
 		return result{}, false, err
 	}
@@ -139,7 +151,7 @@
 
 // Mint asks the daemon of vm for a token.
 func (c *Client) Mint(ctx context.Context, vm ffmember.VM, customer, route string) (string, error) {
-	conn, err := c.pool.get(ctx, vm)
+	conn, err := c.get(ctx, vm)
 	if err != nil {
 		return "", ffcall.Refuse("dial", ffcall.KindUnreachable, err)
 	}
--- a/internal/ffforward/conn.go
+++ b/internal/ffforward/conn.go
@@ -23,10 +23,6 @@
 	dialTimeout = 500 * time.Millisecond
 	// userTimeout bounds the time that sent bytes may stay unacknowledged.
 	userTimeout = 5 * time.Second
-	// keepAlive is the interval between probes of an idle connection.
-	keepAlive = 2 * time.Second
-	// keepAliveProbes is the number of unanswered probes that end a connection.
-	keepAliveProbes = 3
 )
 
 // conn is a connection to one incarnation of a daemon.
@@ -42,29 +38,36 @@
 }
 
 // dial connects to the daemon of vm and makes sure that it is the one that answers.
-func dial(ctx context.Context, vm ffmember.VM) (*conn, error) {
+func (c *Client) dial(ctx context.Context, vm ffmember.VM) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes},
-		Control:         setUserTimeout,
-	}
+	d := c.dialer()
 	nc, err := d.DialContext(ctx, "tcp", vm.ForwardAddress)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: ManagerOptions()})}
-	hello, err := ffprotocol.NewDRPCCallServiceClient(c).Hello(ctx, &ffprotocol.HelloRequest{})
+	made := &conn{Conn: drpcconn.NewWithOptions(nc, drpcconn.Options{Manager: ManagerOptions()})}
+	hello, err := ffprotocol.NewDRPCCallServiceClient(made).Hello(ctx, &ffprotocol.HelloRequest{})
 	if err != nil {
-		_ = c.Close()
+		_ = made.Close()
 		return nil, err
 	}
 	if hello.GetVm() != vm.Name {
-		_ = c.Close()
+		_ = made.Close()
 		return nil, merry.Errorf("VM %q answers at the address of VM %q", hello.GetVm(), vm.Name)
 	}
-	c.incarnation = hello.GetIncarnation()
-	return c, nil
+	made.incarnation = hello.GetIncarnation()
+	return made, nil
+}
+
+// dialer returns the client's dialer with a bound on unacknowledged bytes.
+func (c *Client) dialer() net.Dialer {
+	var d net.Dialer
+	if c.Dialer != nil {
+		d = *c.Dialer
+	}
+	d.Control = setUserTimeout
+	return d
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/internal/ffforward/pool.go
+++ b/internal/ffforward/pool.go
@@ -1,11 +1,8 @@
 package ffforward
 
 import (
-	"context"
 	"sync"
 	"time"
-
-	"fireflyfall.dev/fireflyfall/internal/ffmember"
 )
 
 const (
@@ -53,14 +50,6 @@
 	}
 }
 
-// get returns an idle connection to vm or makes one.
-func (p *pool) get(ctx context.Context, vm ffmember.VM) (*conn, error) {
-	if c := p.take(vm.ForwardAddress, time.Now()); c != nil {
-		return c, nil
-	}
-	return dial(ctx, vm)
-}
-
 // put keeps a connection for later, or closes it when there are enough.
 func (p *pool) put(address string, c *conn) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/ffload/demo.go
@@ -0,0 +1,294 @@
+package ffload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffdeployment"
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/pkg/ffclient"
+)
+
+const (
+	// uploadWork is the service time of long work in the demo.
+	uploadWork = 3 * time.Second
+	// stepTimeout bounds one step of the demo.
+	stepTimeout = 30 * time.Second
+	// floodCalls is the number of calls that the careless customer sends at once.
+	floodCalls = 60
+	// firstVersion and amendedVersion are the numbers that the demo publishes.
+	firstVersion   = 1
+	amendedVersion = 2
+	// fileMode lets only the owner write files of the demo.
+	fileMode = 0o644
+)
+
+// Demo shows the whole path of a deployment and says what it does.
+type Demo struct {
+	Deployment string `arg:"positional,required" placeholder:"DEPLOYMENT" help:"sicily or ulaanbaatar"`
+	Examples   string `arg:"--examples" default:"examples" help:"directory of the deployments"`
+	PerService int    `arg:"--per-service" default:"2" help:"VMs of each service in each data centre; 0 for all"`
+}
+
+// demo is a running demo.
+type demo struct {
+	out        io.Writer
+	scenario   Scenario
+	examples   string
+	directory  string
+	keys       map[string]string
+	deployment *ffdeployment.Deployment
+}
+
+// Run starts the deployment, shows each step and ends it.
+func (c *Demo) Run(ctx context.Context, out io.Writer) error {
+	scenario, err := ReadScenario(c.Deployment)
+	if err != nil {
+		return err
+	}
+	directory, err := os.MkdirTemp("", "fireflyfall-demo-")
+	if err != nil {
+		return &Error{Op: "demo", Kind: KindFile, Err: err}
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	d := &demo{out: out, scenario: scenario, examples: filepath.Join(c.Examples, c.Deployment), directory: directory}
+	if err := d.start(ctx, c.PerService); err != nil {
+		return err
+	}
+	defer d.deployment.Close()
+	return d.steps(ctx)
+}
+
+func (d *demo) start(ctx context.Context, perService int) error {
+	fleet, err := ffdeployment.ReadFleet(d.examples)
+	if err != nil {
+		return err
+	}
+	if perService > 0 {
+		fleet = ffdeployment.Sample(fleet, perService)
+	}
+	if d.keys, err = ffdeployment.ReadKeys(d.examples); err != nil {
+		return err
+	}
+	d.deployment, err = ffdeployment.Start(ctx, ffdeployment.Plan{Fleet: fleet, Targets: demoTarget}, d.directory)
+	if err != nil {
+		return err
+	}
+	d.say("started the platform's stand-in and %d VMs, each a target and a daemon, in %s", len(fleet), strings.Join(d.deployment.DataCentres(), ", "))
+	return nil
+}
+
+func demoTarget(ffmember.VM) []string {
+	return []string{"--work-path", "/photos=" + uploadWork.String()}
+}
+
+func (d *demo) say(format string, args ...any) { fmt.Fprintf(d.out, format+"\n", args...) }
+
+func (d *demo) steps(ctx context.Context) error {
+	for _, step := range []func(context.Context) error{
+		d.publishFirst, d.callOnce, d.lookUp, d.repeatWithToken, d.refuseStranger, d.amend, d.hold, d.stopBusy,
+	} {
+		limited, cancel := context.WithTimeout(ctx, stepTimeout)
+		err := step(limited)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *demo) publishFirst(ctx context.Context) error {
+	return d.publish(ctx, d.examples, firstVersion)
+}
+
+// publish publishes declarations and waits until every daemon has them in force.
+func (d *demo) publish(ctx context.Context, declarations string, number uint64) error {
+	start := time.Now()
+	v, err := d.deployment.Publish(ctx, declarations, number)
+	if err != nil {
+		return err
+	}
+	if _, err := d.deployment.AwaitVersion(ctx, d.deployment.Nodes, v); err != nil {
+		return err
+	}
+	d.say("version %s is in force in all %d daemons after %d ms", v, len(d.deployment.Nodes), time.Since(start).Milliseconds())
+	return nil
+}
+
+// client returns a client of a customer through the daemons of some nodes.
+func (d *demo) client(customer string, nodes []*ffdeployment.Node) *ffclient.Client {
+	c := &ffclient.Client{Key: d.keys[customer]}
+	for _, n := range nodes {
+		c.Addresses = append(c.Addresses, n.Caller)
+	}
+	return c
+}
+
+func requestOf(c ScenarioCall) ffclient.Request {
+	return ffclient.Request{Method: c.Method, Path: c.Path, Body: []byte(c.Body)}
+}
+
+// callEach sends a call through one daemon of each data centre.
+func (d *demo) callEach(ctx context.Context, call ScenarioCall) error {
+	for _, dataCentre := range d.deployment.DataCentres() {
+		answer, err := d.client(call.Customer, d.deployment.In(dataCentre)).Do(ctx, requestOf(call))
+		if err != nil {
+			return err
+		}
+		if answer.Status != http.StatusOK {
+			return broken("%s %s: status %d, %s", call.Method, call.Path, answer.Status, answer.Reason)
+		}
+		d.say("%s through %s: %s %s", call.Customer, dataCentre, answer.Outcome, answer.Body)
+	}
+	return nil
+}
+
+func (d *demo) callOnce(ctx context.Context) error { return d.callEach(ctx, d.scenario.Once) }
+
+func (d *demo) lookUp(ctx context.Context) error { return d.callEach(ctx, d.scenario.Lookup) }
+
+// repeatWithToken sends one call with one token through two daemons and counts its runs.
+func (d *demo) repeatWithToken(ctx context.Context) error {
+	call := d.scenario.Once
+	c := d.client(call.Customer, d.deployment.Nodes)
+	token, err := c.Mint(ctx, call.Route)
+	if err != nil {
+		return err
+	}
+	r := requestOf(call)
+	r.Token = token
+	first, err := c.DoOnce(ctx, call.Route, r)
+	if err != nil {
+		return err
+	}
+	second, err := c.DoOnce(ctx, call.Route, r)
+	if err != nil {
+		return err
+	}
+	if string(first.Body) != string(second.Body) {
+		return broken("one token brought two answers: %s and %s", first.Body, second.Body)
+	}
+	d.say("%s sent one %s twice with one token, through two daemons: both got the answer of its only run", call.Customer, call.Route)
+	return nil
+}
+
+func (d *demo) refuseStranger(ctx context.Context) error {
+	c := &ffclient.Client{Addresses: []string{d.deployment.Nodes[0].Caller}, Key: "not a key"}
+	answer, err := c.Do(ctx, requestOf(d.scenario.Lookup))
+	if err != nil {
+		return err
+	}
+	d.say("a caller with a wrong key: status %d, outcome %s", answer.Status, answer.Outcome)
+	return nil
+}
+
+// amend changes one contract and publishes the next version.
+func (d *demo) amend(ctx context.Context) error {
+	declarations := filepath.Join(d.directory, "amended")
+	if err := os.CopyFS(declarations, os.DirFS(d.examples)); err != nil {
+		return &Error{Op: "amend", Kind: KindFile, Err: err}
+	}
+	a := d.scenario.Amend
+	path := filepath.Join(declarations, "contracts", a.Customer+".yaml")
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return &Error{Op: "amend", Kind: KindFile, Err: err}
+	}
+	amended := strings.Replace(string(content), a.From, a.To, 1)
+	if err := os.WriteFile(path, []byte(amended), fileMode); err != nil {
+		return &Error{Op: "amend", Kind: KindFile, Err: err}
+	}
+	d.say("amended the contract of %s: %s becomes %s", a.Customer, a.From, a.To)
+	return d.publish(ctx, declarations, amendedVersion)
+}
+
+// hold lets the careless customer flood and shows what its contract let through.
+func (d *demo) hold(ctx context.Context) error {
+	call := d.scenario.Careless
+	c := d.client(call.Customer, d.deployment.Nodes)
+	counts := make(map[int]int)
+	for range floodCalls {
+		answer, err := c.Do(ctx, requestOf(call))
+		if err != nil {
+			return err
+		}
+		counts[answer.Status]++
+	}
+	d.say("%s sent %d calls at once: %d answered, %d refused as not run by its contract", call.Customer, floodCalls, counts[http.StatusOK], counts[http.StatusTooManyRequests])
+	if counts[http.StatusTooManyRequests] == 0 {
+		return broken("the contract of %s held nothing back", call.Customer)
+	}
+	return nil
+}
+
+// stopBusy stops the VM that runs long work and shows that the answer is whole.
+func (d *demo) stopBusy(ctx context.Context) error {
+	call := d.scenario.Upload
+	c := d.client(call.Customer, d.deployment.Nodes[:1])
+	u := &upload{client: c, request: requestOf(call), done: make(chan uploaded, 1)}
+	go u.run(ctx)
+	busy, err := d.busy(ctx, call.Service)
+	if err != nil {
+		return err
+	}
+	d.say("%s uploads through %s; its target %s is asked to stop meanwhile", call.Customer, d.deployment.Nodes[0].VM.Name, busy.VM.Name)
+	if err := busy.Daemon.Stop(ctx); err != nil {
+		return err
+	}
+	result := <-u.done
+	if result.err != nil {
+		return result.err
+	}
+	d.say("the daemon has stopped; the upload: status %d, outcome %s, %s", result.answer.Status, result.answer.Outcome, result.answer.Body)
+	return d.lookUp(ctx)
+}
+
+// uploaded is what an upload came to.
+type uploaded struct {
+	answer *ffclient.Answer
+	err    error
+}
+
+// upload is one long call in the background.
+type upload struct {
+	client  *ffclient.Client
+	request ffclient.Request
+	done    chan uploaded
+}
+
+func (u *upload) run(ctx context.Context) {
+	answer, err := u.client.Do(ctx, u.request)
+	u.done <- uploaded{answer: answer, err: err}
+}
+
+// busy waits for the node of a service that runs a call now.
+func (d *demo) busy(ctx context.Context, service string) (*ffdeployment.Node, error) {
+	for ctx.Err() == nil {
+		for _, n := range d.deployment.Nodes {
+			if n.VM.Service != service {
+				continue
+			}
+			all, err := n.Target.Executions(ctx)
+			if err != nil {
+				return nil, err
+			}
+			if len(all) > 0 && all[len(all)-1].Ended.IsZero() {
+				return n, nil
+			}
+		}
+	}
+	return nil, &Error{Op: "demo", Kind: KindDeadline, Err: merry.New("no target runs the upload")}
+}
+
+func broken(format string, args ...any) error {
+	return &Error{Op: "demo", Kind: KindBroken, Err: merry.Errorf(format, args...)}
+}
--- /dev/null
+++ b/internal/ffload/error.go
@@ -0,0 +1,30 @@
+package ffload
+
+import "fmt"
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind tells what sort of failure an Error reports.
+type Kind int
+
+// Kinds of failure.
+const (
+	KindUnknown  Kind = iota // unknown
+	KindUsage                // usage
+	KindFile                 // file
+	KindBroken               // broken
+	KindDeadline             // deadline
+)
+
+// Error is a failure of a run.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("ffload: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/ffload/scenario.go
@@ -0,0 +1,57 @@
+package ffload
+
+import (
+	"embed"
+	"encoding/json"
+
+	"github.com/ansel1/merry/v2"
+)
+
+//go:embed scenarios/*.json
+var scenarios embed.FS
+
+// Scenario says which calls show a deployment.
+type Scenario struct {
+	// Deployment names the directory of declarations below examples.
+	Deployment string `json:"deployment"`
+	// Once is a call that may not be repeated.
+	Once ScenarioCall `json:"once"`
+	// Lookup is a short call that may be repeated.
+	Lookup ScenarioCall `json:"lookup"`
+	// Upload is long work.
+	Upload ScenarioCall `json:"upload"`
+	// Careless is a call of the customer that exceeds its contract.
+	Careless ScenarioCall `json:"careless"`
+	// Amend is the change of a contract that the demo publishes.
+	Amend Amendment `json:"amend"`
+}
+
+// ScenarioCall is one call of a customer.
+type ScenarioCall struct {
+	Customer string `json:"customer"`
+	Route    string `json:"route"`
+	Method   string `json:"method"`
+	Path     string `json:"path"`
+	Service  string `json:"service"`
+	Body     string `json:"body"`
+}
+
+// Amendment replaces the text of one line of a contract.
+type Amendment struct {
+	Customer string `json:"customer"`
+	From     string `json:"from"`
+	To       string `json:"to"`
+}
+
+// ReadScenario returns the scenario of a deployment.
+func ReadScenario(deployment string) (Scenario, error) {
+	var s Scenario
+	content, err := scenarios.ReadFile("scenarios/" + deployment + ".json")
+	if err != nil {
+		return s, &Error{Op: "read scenario", Kind: KindUsage, Err: merry.Errorf("deployment %q is unknown, allowed are sicily and ulaanbaatar", deployment)}
+	}
+	if err := json.Unmarshal(content, &s); err != nil {
+		return s, &Error{Op: "read scenario", Kind: KindFile, Err: err}
+	}
+	return s, nil
+}
--- a/internal/ffoperator/client.go
+++ b/internal/ffoperator/client.go
@@ -42,6 +42,16 @@
 	return get[[]ffmember.VM](ctx, c, address, "/v1/members")
 }
 
+// Status returns what the daemon at address says of itself.
+func (c *Client) Status(ctx context.Context, address string) (Status, error) {
+	return get[Status](ctx, c, address, "/v1/status")
+}
+
+// Audit returns the audit trail of the daemon at address.
+func (c *Client) Audit(ctx context.Context, address string) ([]ffaudit.Event, error) {
+	return get[[]ffaudit.Event](ctx, c, address, "/v1/audit")
+}
+
 // Statuses asks every VM for its status.
 func (c *Client) Statuses(ctx context.Context, vms []ffmember.VM) []Answer[Status] {
 	return ask[Status](ctx, c, vms, "/v1/status")
--- a/internal/ffplatform/client.go
+++ b/internal/ffplatform/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -37,10 +38,14 @@
 	preferred atomic.Uint64
 }
 
+// Dial makes a connection; that of net.Dialer when nil.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client of the platform at the given addresses (host and
 // port), which asks limiter before each request.
-func NewClient(addresses []string, limiter Limiter) *Client {
+func NewClient(addresses []string, limiter Limiter, dial Dial) *Client {
 	transport := &http.Transport{
+		DialContext:            dial,
 		MaxConnsPerHost:        maxConnections,
 		MaxIdleConnsPerHost:    maxConnections,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/ffplatform/client_test.go
+++ b/internal/ffplatform/client_test.go
@@ -43,7 +43,7 @@
 }
 
 func connect(t cleaner, limiter ffplatform.Limiter, addresses ...string) *ffplatform.Client {
-	client := ffplatform.NewClient(addresses, limiter)
+	client := ffplatform.NewClient(addresses, limiter, nil)
 	t.Cleanup(client.Close)
 	return client
 }
--- a/internal/ffrelay/relay.go
+++ b/internal/ffrelay/relay.go
@@ -15,6 +15,8 @@
 type Relay struct {
 	address  string
 	upstream string
+	// detached tells that a split accepts the connections.
+	detached bool
 	loops    sync.WaitGroup
 
 	mu       sync.Mutex
@@ -81,7 +83,7 @@
 
 // listen opens the listener if it is not open.
 func (r *Relay) listen() error {
-	if r.listener != nil {
+	if r.listener != nil || r.detached {
 		return nil
 	}
 	listener, err := net.Listen("tcp", r.address)
