--- a/internal/ffdistribution/chaos_test.go
+++ b/internal/ffdistribution/chaos_test.go
@@ -39,7 +39,9 @@
 	duration time.Duration
 }
 
-func (s step) String() string { return fmt.Sprintf("%s(%d,%d,%s,%v)", s.name, s.a, s.b, s.variant, s.duration) }
+func (s step) String() string {
+	return fmt.Sprintf("%s(%d,%d,%s,%v)", s.name, s.a, s.b, s.variant, s.duration)
+}
 
 var stepNames = []string{
 	"publish", "publish", "publish", "publishFaulty", "race", "stale", "down", "up", "damageSource", "damageWay",
