Report every fault of declarations, compare and explain versions; mend ffconfig

Cause: an operator's mistake must show before a version is published, with file, line and field, and all mistakes at once.

Besides: longSlots is no longer called out of range while slots is the field at fault, and a manifest is at most 1,000,000 bytes, the platform's megabyte.

Weighed: lines of the value against lines of the key; a list starts on the line after its key, so faults name the key's line, and faults of one item its own. A file that cannot be read keeps its file name as its name, so that it does not make everything that refers to it faulty too. Write refuses a number that does not exceed that of the bundle in place, since daemons would never take it.

--- a/internal/ffcommand/build.go
+++ b/internal/ffcommand/build.go
@@ -25,7 +25,7 @@
 		return err
 	}
 	if err := bundle.Write(b.Out); err != nil {
-		return &Error{Op: "build", Kind: KindFailed, Err: err}
+		return failed("build", err)
 	}
 	_, err = fmt.Fprintf(stdout, "version %s: %d pieces in %s\n", bundle.Snapshot.Version(), len(bundle.Pieces), b.Out)
 	return err
--- a/internal/ffcommand/main.go
+++ b/internal/ffcommand/main.go
@@ -24,6 +24,8 @@
 type arguments struct {
 	Check   *Check   `arg:"subcommand:check" help:"print every fault of the declarations in DIR as file:line: field: message; exit 1 on any"`
 	Build   *Build   `arg:"subcommand:build" help:"write the bundle of a version (OUT/manifest and OUT/pieces/DIGEST, the keys to publish; the manifest last)"`
+	Diff    *Diff    `arg:"subcommand:diff" help:"print what changes from A to B, one line for each field"`
+	Explain *Explain `arg:"subcommand:explain" help:"print every limit, share, route and allowance that follows from the contract of CUSTOMER"`
 	KeyHash *KeyHash `arg:"subcommand:keyhash" help:"read a key from standard input and print its SHA-256 digest for keyHashes"`
 }
 
@@ -59,7 +61,11 @@
 	return exitStatus(p, command.Run(ctx, stdout, stderr), stderr)
 }
 
+// printHelp prints the help of the program, or of the command that was named.
 func printHelp(p *arg.Parser, stdout io.Writer) int {
+	for _, name := range p.SubcommandNames() {
+		fmt.Fprintf(stdout, "%s %s: %s\n\n", program, name, commandHelp(name))
+	}
 	if err := p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...); err != nil {
 		return exitFault
 	}
--- a/internal/ffcommand/name.go
+++ b/internal/ffcommand/name.go
@@ -13,7 +13,22 @@
 	t := reflect.TypeFor[arguments]()
 	names := make([]string, 0, t.NumField())
 	for i := range t.NumField() {
-		names = append(names, strings.TrimPrefix(t.Field(i).Tag.Get("arg"), subcommandTag))
+		names = append(names, commandName(t.Field(i)))
 	}
 	return names
 }
+
+// commandHelp returns what a command does, in one sentence.
+func commandHelp(name string) string {
+	t := reflect.TypeFor[arguments]()
+	for i := range t.NumField() {
+		if f := t.Field(i); commandName(f) == name {
+			return f.Tag.Get("help")
+		}
+	}
+	return ""
+}
+
+func commandName(f reflect.StructField) string {
+	return strings.TrimPrefix(f.Tag.Get("arg"), subcommandTag)
+}
--- a/pkg/ffconfig/class.go
+++ b/pkg/ffconfig/class.go
@@ -26,5 +26,5 @@
 			return nil
 		}
 	}
-	return merry.Errorf("class %q is neither short nor long", text)
+	return merry.Errorf("%q is neither short nor long", text)
 }
--- a/pkg/ffconfig/digest.go
+++ b/pkg/ffconfig/digest.go
@@ -3,12 +3,16 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 )
 
 // digestShortLength is the number of hexadecimal digits that logs show of a digest.
 const digestShortLength = 12
 
-// Digest is the SHA-256 hash of some content, in hexadecimal.
+// hexDigits are the digits of a digest; capitals would make two names for one digest.
+const hexDigits = "0123456789abcdef"
+
+// Digest is the SHA-256 hash of some content, in lower-case hexadecimal.
 type Digest string
 
 // DigestOf returns the digest of content.
@@ -19,8 +23,7 @@
 
 // Valid reports whether d has the form of a digest.
 func (d Digest) Valid() bool {
-	b, err := hex.DecodeString(string(d))
-	return err == nil && len(b) == sha256.Size
+	return len(d) == hex.EncodedLen(sha256.Size) && strings.Trim(string(d), hexDigits) == ""
 }
 
 // Short returns the first digits of d, for logs.
--- a/pkg/ffconfig/manifest.go
+++ b/pkg/ffconfig/manifest.go
@@ -3,14 +3,17 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"slices"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
 )
 
-// MaxManifestBytes bounds the encoded manifest, in bytes.
-const MaxManifestBytes = 1 << 20
+// MaxManifestBytes bounds the encoded manifest, in bytes; the platform holds
+// values of up to one megabyte.
+const MaxManifestBytes = 1_000_000
 
 // Manifest lists the pieces of one version.
 type Manifest struct {
@@ -76,7 +79,7 @@
 	if err := d.Decode(into); err != nil {
 		return err
 	}
-	if d.More() {
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return merry.New("content follows the value")
 	}
 	return nil
--- a/pkg/ffconfig/snapshot.go
+++ b/pkg/ffconfig/snapshot.go
@@ -24,6 +24,9 @@
 // error, and no snapshot, when any piece is missing, corrupt, invalid or refers
 // to something that the version lacks.
 func NewSnapshot(m Manifest, v Version, content map[Digest][]byte) (*Snapshot, error) {
+	if err := m.validate(); err != nil {
+		return nil, err
+	}
 	s := &Snapshot{
 		version:   v,
 		manifest:  m,
--- a/pkg/ffconfig/validate.go
+++ b/pkg/ffconfig/validate.go
@@ -35,7 +35,7 @@
 	f.name("customer", c.Customer)
 	f.between("keyHashes", int64(len(c.KeyHashes)), 1, maxKeysPerContract)
 	for _, h := range c.KeyHashes {
-		f.require("keyHashes", h.Valid(), "each must be a SHA-256 digest in hexadecimal")
+		f.require("keyHashes", h.Valid(), "each must be a SHA-256 digest of 64 lower-case hexadecimal digits")
 	}
 	f.between("share", int64(c.Share), 1, MaxShare)
 	f.require("ratePerSecond", c.RatePerSecond > 0 && c.RatePerSecond <= MaxRatePerSecond, "must be above 0 and at most 1000000")
@@ -55,12 +55,24 @@
 	f.name("service", s.Name)
 	f.names("resources", s.Resources)
 	f.between("slots", int64(s.Slots), 1, MaxSlots)
-	f.between("longSlots", int64(s.LongSlots), 0, int64(max(s.Slots-1, 0)))
+	f.between("longSlots", int64(s.LongSlots), 0, int64(s.maxLongSlots()))
 	f.between("connections", int64(s.Connections), 1, MaxConnections)
 	f.between("queueLength", int64(s.QueueLength), 1, MaxQueueLength)
 	return f
 }
 
+// maxLongSlots leaves one slot for short work. While the number of slots is itself
+// at fault, only the greatest bound of all holds.
+func (s *Service) maxLongSlots() int {
+	if s.Slots < 1 {
+		return MaxSlots - 1
+	}
+	return s.Slots - 1
+}
+
+// reservedPath starts the paths that the daemon serves itself.
+const reservedPath = "/v1/"
+
 var methods = []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
 // Validate returns every field of the route whose value is not allowed.
@@ -69,7 +81,7 @@
 	f.name("route", r.Name)
 	f.require("method", slices.Contains(methods, r.Method), "must be one of "+strings.Join(methods, ", "))
 	f.require("path", strings.HasPrefix(r.Path, "/") && !strings.ContainsAny(r.Path, "?# "), "must start with / and hold no ?, # or space")
-	f.require("path", !strings.HasPrefix(r.Path, "/v1/"), "must not start with /v1/, which the daemon serves itself")
+	f.require("path", !strings.HasPrefix(r.Path+"/", reservedPath), "must not start with "+reservedPath+", which the daemon serves itself")
 	f.name("service", r.Service)
 	f.name("resource", r.Resource)
 	f.between("timeoutMillis", r.TimeoutMillis, 1, MaxTimeoutMillis)
--- a/pkg/ffdeclaration/bundle.go
+++ b/pkg/ffdeclaration/bundle.go
@@ -1,7 +1,8 @@
 package ffdeclaration
 
 import (
-	"io"
+	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 
@@ -16,12 +17,6 @@
 	piecesDirectory = "pieces"
 )
 
-// Permissions of what Write creates.
-const (
-	fileMode      = 0o644
-	directoryMode = 0o755
-)
-
 // Bundle is one version as the operators publish it on the platform.
 type Bundle struct {
 	// Manifest is the encoded manifest.
@@ -53,27 +48,42 @@
 	return &Bundle{Manifest: manifest, Pieces: pieces, Snapshot: s}, nil
 }
 
-// Write writes the pieces and then the manifest below dir.
+// Write writes the pieces and then the manifest below dir. It refuses to replace
+// a version that daemons would not give up for this one.
 func (b *Bundle) Write(dir string) error {
+	if err := b.checkNewer(dir); err != nil {
+		return &Error{Op: "write", Kind: KindOrder, Err: err}
+	}
 	if err := os.MkdirAll(filepath.Join(dir, piecesDirectory), directoryMode); err != nil {
 		return &Error{Op: "write", Kind: KindWrite, Err: merry.Wrap(err)}
 	}
 	for digest, content := range b.Pieces {
 		if err := writeFile(filepath.Join(dir, piecesDirectory, string(digest)), content); err != nil {
-			return err
+			return &Error{Op: "write", Kind: KindWrite, Err: err}
 		}
 	}
-	return writeFile(filepath.Join(dir, manifestKey), b.Manifest)
+	if err := writeFile(filepath.Join(dir, manifestKey), b.Manifest); err != nil {
+		return &Error{Op: "write", Kind: KindWrite, Err: err}
+	}
+	return nil
 }
 
-// writeFile puts a whole file in place at once.
-func writeFile(name string, content []byte) error {
-	partial := name + ".partial"
-	if err := os.WriteFile(partial, content, fileMode); err != nil {
-		return &Error{Op: "write", Kind: KindWrite, Err: merry.Wrap(err)}
+// checkNewer compares the version with the one that dir holds.
+func (b *Bundle) checkNewer(dir string) error {
+	content, err := readFile(filepath.Join(dir, manifestKey), ffconfig.MaxManifestBytes)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
 	}
-	if err := os.Rename(partial, name); err != nil {
-		return &Error{Op: "write", Kind: KindWrite, Err: merry.Wrap(err)}
+	if err != nil {
+		return err
+	}
+	_, there, err := ffconfig.DecodeManifest(content)
+	if err != nil {
+		return err
+	}
+	v := b.Snapshot.Version()
+	if v != there && v.Number <= there.Number {
+		return merry.Errorf("%s holds version %s; the number must be at least %d", dir, there, there.Number+1)
 	}
 	return nil
 }
@@ -93,26 +103,8 @@
 	return b, nil
 }
 
-// readFile reads a regular file of at most limit bytes.
-func readFile(name string, limit int64) ([]byte, error) {
-	info, err := os.Lstat(name)
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	if !info.Mode().IsRegular() {
-		return nil, merry.Errorf("%s is not a regular file", name)
-	}
-	f, err := os.Open(name)
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	defer f.Close()
-	content, err := io.ReadAll(io.LimitReader(f, limit+1))
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	if int64(len(content)) > limit {
-		return nil, merry.Errorf("%s is too long; at most %d bytes are allowed", name, limit)
-	}
-	return content, nil
+// IsBundle reports whether dir holds a bundle rather than declarations.
+func IsBundle(dir string) bool {
+	_, err := os.Lstat(filepath.Join(dir, manifestKey))
+	return err == nil
 }
--- a/pkg/ffdeclaration/declared.go
+++ b/pkg/ffdeclaration/declared.go
@@ -6,6 +6,36 @@
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
+// declarationSort is what the declarations of one directory have in common.
+type declarationSort[T any] struct {
+	directory string
+	// field holds the name of a declaration.
+	field    string
+	name     func(*T) string
+	validate func(*T) []ffconfig.Fault
+}
+
+var (
+	contractSort = declarationSort[ffconfig.Contract]{
+		directory: "contracts",
+		field:     "customer",
+		name:      func(c *ffconfig.Contract) string { return c.Customer },
+		validate:  (*ffconfig.Contract).Validate,
+	}
+	serviceSort = declarationSort[ffconfig.Service]{
+		directory: "services",
+		field:     "service",
+		name:      func(s *ffconfig.Service) string { return s.Name },
+		validate:  (*ffconfig.Service).Validate,
+	}
+	routeSort = declarationSort[ffconfig.Route]{
+		directory: "routes",
+		field:     "route",
+		name:      func(r *ffconfig.Route) string { return r.Name },
+		validate:  (*ffconfig.Route).Validate,
+	}
+)
+
 // Declarations are the contracts, services and routes of a mesh.
 type Declarations struct {
 	contracts []*declared[ffconfig.Contract]
@@ -33,40 +63,23 @@
 	return all
 }
 
-// checkNames compares each file name with the name that it declares.
+// checkNames compares each name with its file name and with the other names.
 func (d *Declarations) checkNames() {
-	for _, c := range d.contracts {
-		c.checkName("customer", c.value.Customer)
-	}
-	for _, s := range d.services {
-		s.checkName("service", s.value.Name)
-	}
-	for _, r := range d.routes {
-		r.checkName("route", r.value.Name)
-	}
-	checkUnique(d.contracts, "customer", func(c *ffconfig.Contract) string { return c.Customer })
-	checkUnique(d.services, "service", func(s *ffconfig.Service) string { return s.Name })
-	checkUnique(d.routes, "route", func(r *ffconfig.Route) string { return r.Name })
+	checkNames(d.contracts, contractSort.field)
+	checkNames(d.services, serviceSort.field)
+	checkNames(d.routes, routeSort.field)
 }
 
-func (d *document) checkName(field, name string) {
-	if want := baseName(d.file); !d.faulty[field] && name != want {
-		d.add(d.line(field), field, fmt.Sprintf("is %q, but the file name says %q; they must be the same", name, want))
-	}
-}
-
-// checkUnique adds a fault to each declaration whose name an earlier file has taken.
-func checkUnique[T any](all []*declared[T], field string, name func(*T) string) {
+func checkNames[T any](all []*declared[T], field string) {
 	first := make(map[string]*declared[T], len(all))
 	for _, d := range all {
-		n := name(&d.value)
-		if n == "" {
-			continue
+		if want := baseName(d.file); d.name != want {
+			d.add(d.line(field), field, fmt.Sprintf("is %q, but the file name says %q; they must be the same", d.name, want))
 		}
-		if other, taken := first[n]; taken {
-			d.add(d.line(field), field, fmt.Sprintf("%q is declared in %s already; each name is declared once", n, other.file))
+		if other, taken := first[d.name]; taken {
+			d.add(d.line(field), field, fmt.Sprintf("%q is declared in %s already; each name is declared once", d.name, other.file))
 			continue
 		}
-		first[n] = d
+		first[d.name] = d
 	}
 }
--- a/pkg/ffdeclaration/document.go
+++ b/pkg/ffdeclaration/document.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -16,14 +17,29 @@
 
 // document is one declaration file while it is read.
 type document struct {
-	file   string
+	file string
+	// name is what the file declares, or else what the file name says.
+	name   string
 	faults Faults
-	// values are the nodes of the fields that the file declares.
+	// lines are the lines of the fields that the file declares.
+	lines map[string]int
+	// values are the nodes of those fields.
 	values map[string]ast.Node
-	// faulty are the fields that already have a fault.
+	// faulty are the fields that have a fault; the empty name stands for the whole file.
 	faulty map[string]bool
 }
 
+// sound reports whether the value of a field can be relied on.
+func (d *document) sound(field string) bool { return !d.faulty[""] && !d.faulty[field] }
+
+// identify sets the name from its field, or from the file name when that field is at fault.
+func (d *document) identify(field, name string) {
+	d.name = baseName(d.file)
+	if d.sound(field) {
+		d.name = name
+	}
+}
+
 // decode reads content into the struct that into points to, by the yaml tags of
 // its fields. It reports whether content is a mapping at all.
 func (d *document) decode(content []byte, into any) bool {
@@ -70,6 +86,7 @@
 
 // collect notes the node of each field, and faults for unknown and duplicate ones.
 func (d *document) collect(root *ast.MappingNode, names []string) {
+	d.lines = make(map[string]int, len(names))
 	d.values = make(map[string]ast.Node, len(names))
 	for _, v := range root.Values {
 		name, line := keyName(v.Key), lineOf(v.Key)
@@ -79,6 +96,7 @@
 		case d.values[name] != nil:
 			d.add(line, name, fmt.Sprintf("is declared twice, first in line %d", d.line(name)))
 		default:
+			d.lines[name] = line
 			d.values[name] = v.Value
 		}
 	}
@@ -99,19 +117,27 @@
 		d.add(1, name, "is missing; every field is written out")
 		return
 	}
-	if want, ok := fits(node, target.Type()); !ok {
-		d.add(lineOf(node), name, "must be "+want)
+	want, ok := fits(node, target.Type())
+	if !ok {
+		d.add(d.line(name), name, "must be "+want)
 		return
 	}
-	if err := yaml.NodeToValue(node, target.Addr().Interface(), yaml.Strict()); err != nil {
+	err := yaml.NodeToValue(node, target.Addr().Interface(), yaml.Strict())
+	var overflow *yaml.OverflowError
+	switch {
+	case errors.As(err, &overflow):
+		d.add(d.line(name), name, "is too large; must be "+want+" of at most 63 bits")
+	case err != nil:
 		d.addError(name, err)
 	}
 }
 
-// validate adds a fault for each value that is out of range.
+// validate adds a fault for each value that is out of range, but for fields that
+// could not be decoded.
 func (d *document) validate(faults []ffconfig.Fault) {
+	undecoded := maps.Clone(d.faulty)
 	for _, f := range faults {
-		if !d.faulty[f.Field] {
+		if !undecoded[f.Field] {
 			d.add(d.line(f.Field), f.Field, f.Message)
 		}
 	}
@@ -119,10 +145,7 @@
 
 // line returns the line of a field, or the first when the file lacks it.
 func (d *document) line(field string) int {
-	if node, ok := d.values[field]; ok {
-		return lineOf(node)
-	}
-	return 1
+	return max(d.lines[field], 1)
 }
 
 // itemLine returns the line of one item of a list.
--- a/pkg/ffdeclaration/error.go
+++ b/pkg/ffdeclaration/error.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+//go:generate stringer -type=Kind,Action -linecomment -output=enum_string.go
 
 // Kind tells what sort of failure an Error reports.
 type Kind int
@@ -14,6 +14,7 @@
 	KindRead                // read
 	KindWrite               // write
 	KindBundle              // bundle
+	KindOrder               // order
 	KindName                // name
 )
 
--- a/pkg/ffdeclaration/read.go
+++ b/pkg/ffdeclaration/read.go
@@ -1,22 +1,14 @@
 package ffdeclaration
 
 import (
-	"io"
+	"errors"
+	"fmt"
+	"io/fs"
 	"os"
-	"path"
 	"path/filepath"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
-
-	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
-)
-
-// Directories of a directory of declarations.
-const (
-	contractsDirectory = "contracts"
-	servicesDirectory  = "services"
-	routesDirectory    = "routes"
 )
 
 // extension is the end of the name of every declaration file.
@@ -28,19 +20,21 @@
 // Read reads the declarations below dir. When any is at fault it returns an
 // Error of kind fault whose cause is of type Faults and lists all of them.
 func Read(dir string) (*Declarations, error) {
+	if _, err := os.ReadDir(dir); err != nil {
+		return nil, &Error{Op: "read", Kind: KindRead, Err: merry.Wrap(err)}
+	}
 	r := reader{dir: dir}
 	d := &Declarations{
-		contracts: readAll(&r, contractsDirectory, (*ffconfig.Contract).Validate),
-		services:  readAll(&r, servicesDirectory, (*ffconfig.Service).Validate),
-		routes:    readAll(&r, routesDirectory, (*ffconfig.Route).Validate),
+		contracts: readAll(&r, contractSort),
+		services:  readAll(&r, serviceSort),
+		routes:    readAll(&r, routeSort),
 	}
 	if r.err != nil {
 		return nil, &Error{Op: "read", Kind: KindRead, Err: r.err}
 	}
 	d.checkNames()
 	d.checkReferences()
-	faults := append(r.faults, d.faults()...)
-	if len(faults) > 0 {
+	if faults := append(r.faults, d.faults()...); len(faults) > 0 {
 		faults.sort()
 		return nil, &Error{Op: "read", Kind: KindFault, Err: faults}
 	}
@@ -56,74 +50,56 @@
 }
 
 // readAll reads each declaration of one directory.
-func readAll[T any](r *reader, directory string, validate func(*T) []ffconfig.Fault) []*declared[T] {
-	var all []*declared[T]
-	for _, file := range r.files(directory) {
-		content, ok := r.content(file)
-		if !ok {
-			continue
-		}
-		d := &declared[T]{document: document{file: file}}
-		if d.decode(content, &d.value) {
-			d.validate(validate(&d.value))
+func readAll[T any](r *reader, s declarationSort[T]) []*declared[T] {
+	entries := r.entries(s.directory)
+	all := make([]*declared[T], 0, len(entries))
+	for _, e := range entries {
+		d := &declared[T]{document: document{file: filepath.Join(r.dir, s.directory, e.Name())}}
+		if content, ok := r.content(&d.document, e.Type()); ok && d.decode(content, &d.value) {
+			d.validate(s.validate(&d.value))
 		}
+		d.identify(s.field, s.name(&d.value))
 		all = append(all, d)
 	}
 	return all
 }
 
-// files returns the names of the declarations of one directory, and faults for
-// every other entry.
-func (r *reader) files(directory string) []string {
-	entries, err := os.ReadDir(filepath.Join(r.dir, directory))
-	if err != nil {
-		r.fail(err)
+// entries lists one directory.
+func (r *reader) entries(directory string) []fs.DirEntry {
+	name := filepath.Join(r.dir, directory)
+	entries, err := os.ReadDir(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		r.faults = append(r.faults, Fault{File: name, Line: 1, Message: "is missing; declarations stand in the directories contracts, services and routes"})
 		return nil
 	}
-	var files []string
-	for _, e := range entries {
-		file := path.Join(directory, e.Name())
-		switch {
-		case !e.Type().IsRegular():
-			r.fault(file, "is not a regular file; directories, links and devices are not allowed")
-		case path.Ext(file) != extension:
-			r.fault(file, "is not a declaration; its name must end in "+extension)
-		default:
-			files = append(files, file)
-		}
-	}
-	return files
+	r.fail(err)
+	return entries
 }
 
-// content returns the bytes of a file that is not too long.
-func (r *reader) content(file string) ([]byte, bool) {
-	f, err := os.Open(filepath.Join(r.dir, filepath.FromSlash(file)))
-	if err != nil {
-		r.fail(err)
+// content returns the bytes of a declaration, unless the file itself is at fault.
+func (r *reader) content(d *document, mode fs.FileMode) ([]byte, bool) {
+	if !mode.IsRegular() {
+		d.add(1, "", "is not a regular file; directories, links and devices are not allowed")
 		return nil, false
 	}
-	defer f.Close()
-	content, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
-	if err != nil {
-		r.fail(err)
+	if filepath.Ext(d.file) != extension {
+		d.add(1, "", "is not a declaration; its name must end in "+extension)
 		return nil, false
 	}
-	if len(content) > MaxFileBytes {
-		r.fault(file, merry.Errorf("is too long; at most %d bytes are allowed", MaxFileBytes).Error())
+	content, err := readFile(d.file, MaxFileBytes)
+	if errors.Is(err, errTooLong) {
+		d.add(1, "", fmt.Sprintf("is too long; at most %d bytes are allowed", MaxFileBytes))
 		return nil, false
 	}
-	return content, true
-}
-
-func (r *reader) fault(file, message string) {
-	r.faults = append(r.faults, Fault{File: file, Line: 1, Message: message})
+	r.fail(err)
+	return content, err == nil
 }
 
 func (r *reader) fail(err error) {
-	if r.err == nil {
+	if r.err == nil && err != nil {
 		r.err = merry.Wrap(err)
 	}
 }
 
 // baseName returns the name that a file must declare.
-func baseName(file string) string { return strings.TrimSuffix(path.Base(file), extension) }
+func baseName(file string) string { return strings.TrimSuffix(filepath.Base(file), extension) }
--- a/pkg/ffdeclaration/reference.go
+++ b/pkg/ffdeclaration/reference.go
@@ -14,14 +14,14 @@
 func (d *Declarations) checkReferences() {
 	services := make(map[string]*declared[ffconfig.Service], len(d.services))
 	for _, s := range d.services {
-		services[s.value.Name] = s
+		services[s.name] = s
 	}
 	for _, r := range d.routes {
 		checkService(r, services)
 	}
 	routes := make(map[string]bool, len(d.routes))
 	for _, r := range d.routes {
-		routes[r.value.Name] = true
+		routes[r.name] = true
 	}
 	for _, c := range d.contracts {
 		checkRoutes(c, routes)
@@ -32,7 +32,7 @@
 
 // checkService compares a route with the service that it names.
 func checkService(r *declared[ffconfig.Route], services map[string]*declared[ffconfig.Service]) {
-	if r.faulty["service"] {
+	if !r.sound("service") {
 		return
 	}
 	s, ok := services[r.value.Service]
@@ -40,17 +40,17 @@
 		r.add(r.line("service"), "service", fmt.Sprintf("%q is not a service; allowed are %s", r.value.Service, listed(services)))
 		return
 	}
-	if !r.faulty["resource"] && !s.faulty["resources"] && !s.value.Offers(r.value.Resource) {
+	if r.sound("resource") && s.sound("resources") && !s.value.Offers(r.value.Resource) {
 		r.add(r.line("resource"), "resource", fmt.Sprintf("service %q does not offer %q; allowed are %s", r.value.Service, r.value.Resource, strings.Join(s.value.Resources, ", ")))
 	}
-	if !r.faulty["class"] && !s.faulty["longSlots"] && r.value.Class == ffconfig.ClassLong && s.value.LongSlots == 0 {
+	if r.sound("class") && s.sound("longSlots") && r.value.Class == ffconfig.ClassLong && s.value.LongSlots == 0 {
 		r.add(r.line("class"), "class", fmt.Sprintf("service %q has no slots for long work; allowed is short", r.value.Service))
 	}
 }
 
 // checkRoutes looks up each route that a contract names.
 func checkRoutes(c *declared[ffconfig.Contract], routes map[string]bool) {
-	if c.faulty["routes"] {
+	if !c.sound("routes") {
 		return
 	}
 	for i, name := range c.value.Routes {
@@ -65,7 +65,7 @@
 	type match struct{ method, path string }
 	first := make(map[match]*declared[ffconfig.Route], len(routes))
 	for _, r := range routes {
-		if r.faulty["method"] || r.faulty["path"] {
+		if !r.sound("method") || !r.sound("path") {
 			continue
 		}
 		m := match{method: r.value.Method, path: r.value.Path}
@@ -81,7 +81,7 @@
 func checkKeys(contracts []*declared[ffconfig.Contract]) {
 	first := make(map[ffconfig.Digest]*declared[ffconfig.Contract])
 	for _, c := range contracts {
-		if c.faulty["keyHashes"] {
+		if !c.sound("keyHashes") {
 			continue
 		}
 		for i, h := range c.value.KeyHashes {
