--- a/internal/ffplatform/client.go
+++ b/internal/ffplatform/client.go
@@ -66,7 +66,9 @@
 }
 
 // Watch waits until the revision of the value under key differs from after, or
-// until the given time; then it returns the same revision without content.
+// until the given time; then it returns the same revision without content. The
+// platform counts a watch as a call each second, so a short watch costs no more
+// than a long one, and bounds how long a silent connection hides a change.
 func (c *Client) Watch(ctx context.Context, key string, after uint64, until time.Time) (Value, error) {
 	return c.query(ctx, query{op: "watch", key: key, path: valuePath(key), maxBytes: MaxValueBytes, watch: true, after: after, until: until})
 }
--- a/internal/ffstand/platformhandler.go
+++ b/internal/ffstand/platformhandler.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
-
-	"fireflyfall.dev/fireflyfall/internal/ffmember"
 )
 
 const (
@@ -50,17 +47,7 @@
 
 func vmLookup(state platformState, now time.Time) reading {
 	list, changesAt := state.visibleList(now)
-	if list.revision == 0 {
-		return reading{changesAt: changesAt}
-	}
-	if list.vms == nil {
-		list.vms = []ffmember.VM{}
-	}
-	content, err := json.Marshal(list.vms)
-	if err != nil {
-		panic(err)
-	}
-	return reading{revision: list.revision, content: content, changesAt: changesAt}
+	return reading{revision: list.revision, content: list.content, changesAt: changesAt}
 }
 
 func (p *Platform) serve(w http.ResponseWriter, r *http.Request, key string, find lookup) {
--- a/internal/ffstand/platformstate.go
+++ b/internal/ffstand/platformstate.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -27,6 +29,8 @@
 	revision  uint64
 	visibleAt time.Time
 	vms       []ffmember.VM
+	// content is the encoded list.
+	content []byte
 }
 
 // platformState is everything published at one moment. It is immutable.
@@ -73,11 +77,22 @@
 func (s platformState) withVMs(vms []ffmember.VM, now, visibleAt time.Time) platformState {
 	next := s
 	next.revision++
-	lists := s.lists[max(0, s.visible(now)):]
-	next.lists = append(append([]vmList(nil), lists...), vmList{revision: next.revision, visibleAt: visibleAt, vms: vms})
+	list := vmList{revision: next.revision, visibleAt: visibleAt, vms: vms, content: encodeVMs(vms)}
+	next.lists = append(slices.Clone(s.lists[max(0, s.visible(now)):]), list)
 	return next
 }
 
+func encodeVMs(vms []ffmember.VM) []byte {
+	if vms == nil {
+		return []byte("[]")
+	}
+	content, err := json.Marshal(vms)
+	if err != nil {
+		panic(err)
+	}
+	return content
+}
+
 // latestVMs returns the VM list published last.
 func (s platformState) latestVMs() []ffmember.VM {
 	if len(s.lists) == 0 {
