Tokens that bind a call to one gate and incarnation

Cause: a call that is not idempotent may be asked for again through any daemon, so the attempt must name the only gate that may run it.

Weighed: an own binary layout against a protobuf message with a tag behind it; the codec comes from the library. The key is random for each process: a gate that restarts accepts none of the old tokens, also when an incarnation number should come again. Expiry counts from the start of the gate by its own clock.

Seen to fail first in scratch copies: no tag check (forged accepted), no incarnation check, no customer check, no expiry. Fuzzed for 8 s: no token but the minted one is accepted.

--- a/internal/ffqueue/enum_string.go
+++ b/internal/ffqueue/enum_string.go
@@ -24,6 +24,7 @@
 	}
 	return _Kind_name[_Kind_index[idx]:_Kind_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- /dev/null
+++ b/internal/fftoken/issuer.go
@@ -0,0 +1,90 @@
+// Package fftoken decides which gate may run a call that is not idempotent: a
+// token names one gate, one incarnation, one customer and one route.
+package fftoken
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Life is the time for which a token may start a call.
+const Life = 5 * time.Minute
+
+const keyBytes = 32
+
+// Issuer mints and verifies the tokens of one incarnation of one gate. Its key
+// is random and dies with the process, so no later incarnation accepts them.
+type Issuer struct {
+	vm          string
+	incarnation uint64
+	started     time.Time
+	random      io.Reader
+	key         [keyBytes]byte
+}
+
+// NewIssuer returns the issuer of a gate that started at the given time; the
+// key and the identifiers come from random.
+func NewIssuer(vm string, incarnation uint64, started time.Time, random io.Reader) (*Issuer, error) {
+	i := &Issuer{vm: vm, incarnation: incarnation, started: started, random: random}
+	if _, err := io.ReadFull(random, i.key[:]); err != nil {
+		return nil, &Error{Op: "key", Kind: KindRandom, Err: err}
+	}
+	return i, nil
+}
+
+// Mint returns a new token for a call of the customer on the route.
+func (i *Issuer) Mint(now time.Time, customer, route string) (string, error) {
+	c := Claims{VM: i.vm, Incarnation: i.incarnation, Customer: customer, Route: route}
+	if _, err := io.ReadFull(i.random, c.ID[:]); err != nil {
+		return "", &Error{Op: "mint", Kind: KindRandom, Err: err}
+	}
+	c.expiresMicros = now.Add(Life).Sub(i.started).Microseconds()
+	payload, err := c.encode()
+	if err != nil {
+		return "", malformed(err)
+	}
+	token := encoding.EncodeToString(append(payload, i.tag(payload)...))
+	if _, err := Parse(token); err != nil {
+		return "", err
+	}
+	return token, nil
+}
+
+// Verify returns the claims of a token that this issuer minted for the customer
+// and route. An expired token still returns its claims.
+func (i *Issuer) Verify(now time.Time, token, customer, route string) (Claims, error) {
+	c, s, err := split(token)
+	if err != nil {
+		return Claims{}, err
+	}
+	if c.VM != i.vm || c.Incarnation != i.incarnation {
+		return Claims{}, refuse(KindOtherGate, merry.Errorf("the token names %s incarnation %d", c.VM, c.Incarnation))
+	}
+	if !hmac.Equal(s.tag, i.tag(s.payload)) {
+		return Claims{}, refuse(KindForged, merry.New("the tag does not match"))
+	}
+	if c.Customer != customer || c.Route != route {
+		return Claims{}, refuse(KindMismatch, merry.Errorf("the token is for route %s of customer %s", c.Route, c.Customer))
+	}
+	if !now.Before(i.ExpireAt(c)) {
+		return c, refuse(KindExpired, merry.New("the token has expired"))
+	}
+	return c, nil
+}
+
+// ExpireAt returns the time from which the token starts no call, by the clock of the gate.
+func (i *Issuer) ExpireAt(c Claims) time.Time {
+	return i.started.Add(time.Duration(c.expiresMicros) * time.Microsecond)
+}
+
+func (i *Issuer) tag(payload []byte) []byte {
+	h := hmac.New(sha256.New, i.key[:])
+	h.Write(payload)
+	return h.Sum(nil)[:tagBytes]
+}
+
+func refuse(kind Kind, err error) error { return &Error{Op: "verify", Kind: kind, Err: err} }
