Gate: refusals that are remembered, outcomes that are never guessed

Cause: a call may come twice, late, through another daemon or after a restart; the gate is the one place that can tell whether it ran.

Found by the state machine and mended: - a refusal told as not run was not remembered, so a late copy of the same attempt could run; refusals are recorded now - an attempt beyond those that a record answers, and one whose record was evicted, looked as if it never came; the ledger keeps the time until which it cannot tell, and Settle says unknown until then - the expiry of a token is judged under the lock of the records, so a pause between the look at the clock and the record opens no gap - a lookup whose wait ended took either branch when the outcome was there already

Weighed: evicting the records of whoever has most, against a dynamic part (no customer holds more than is free); the latter needs no scan and never touches another customer's records. Durable records are never evicted, only their answers: a customer without room is refused as not run.

Seen to fail first in scratch copies: no record by token or by call, no deadline check before the target, memory shorter than a token's life, evicted durable records, expiry not checked, digest not compared, token kept by nobody after a cut, unknown told as not run, barred call that is not recorded, slot of an abandoned call not given back.

--- a/internal/ffgate/do.go
+++ b/internal/ffgate/do.go
@@ -10,7 +10,6 @@
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
 	"fireflyfall.dev/fireflyfall/internal/ffqueue"
-	"fireflyfall.dev/fireflyfall/internal/fftoken"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
@@ -20,73 +19,58 @@
 // Do runs a call, or returns what became of it when it came before. An error is
 // always an *ffcall.Error; its outcome is notRun only when this attempt did not run.
 func (g *Gate) Do(ctx context.Context, c *ffcall.Call) (*ffcall.Reply, error) {
-	claims, err := g.verify(c)
-	if err != nil {
-		return nil, g.report(err)
-	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	x, r, err := g.admit(c, claims)
-	if err != nil {
-		return nil, g.report(err)
+	x, r, refusal := g.admit(c, g.verify(c))
+	if refusal != nil {
+		return nil, g.report(refusal)
 	}
 	if x == nil {
 		return g.await(ctx, r)
 	}
-	reply, err := x.do(ctx)
-	if err != nil {
-		return nil, g.report(err)
+	reply, refusal := x.do(ctx)
+	if refusal != nil {
+		return nil, g.report(refusal)
 	}
-	return g.answer(reply), nil
+	return g.answer(x.record, reply), nil
 }
 
 // admit finds the record of a call that came before, or records and queues a new one.
-func (g *Gate) admit(c *ffcall.Call, claims *fftoken.Claims) (*execution, *record, *ffcall.Error) {
+func (g *Gate) admit(c *ffcall.Call, v verdict) (*execution, *record, *ffcall.Error) {
 	digest := digestOf(c)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.prepare()
 	now := g.now()
 	g.store.sweep(now)
-	a := attempt{call: callKey{c.Customer, c.ID}, digest: digest, durable: true, deadline: c.Deadline}
-	if claims != nil {
-		a.token, a.hasToken = claims.ID, true
-	}
-	r, err := g.store.find(a)
-	if r != nil || err != nil {
-		return nil, r, err
-	}
-	if claims != nil && !now.Before(g.Issuer.ExpireAt(*claims)) {
-		return nil, nil, g.expired(now, claims)
+	a := attempt{call: callKey{c.Customer, c.ID}, token: v.claims.ID, hasToken: v.valid, digest: digest, durable: true, deadline: c.Deadline}
+	r, refusal := g.store.find(a)
+	if r != nil || refusal != nil {
+		return nil, r, refusal
 	}
-	route, err := g.mayStart(now, c)
-	if route != nil {
-		a.durable = a.hasToken || !route.Idempotent
-	}
-	r, full := g.store.begin(a)
-	if err != nil {
-		g.refuseNew(now, r, err)
-		return nil, nil, err
+	route, refusal := g.mayStart(now, c, v)
+	if refusal != nil {
+		g.store.refuse(now, a, refusal)
+		return nil, nil, refusal
 	}
-	if full != nil {
-		return nil, nil, full
+	a.route = route.Name
+	a.durable = a.hasToken || !route.Idempotent
+	r, refusal = g.store.begin(a)
+	if refusal != nil {
+		return nil, nil, refusal
 	}
 	x := g.newExecution(now, c, r, route)
-	if err := g.enqueue(now, x); err != nil {
-		return nil, nil, err
+	if refusal := g.enqueue(now, x); refusal != nil {
+		return nil, nil, refusal
 	}
 	return x, nil, nil
 }
 
-// refuseNew remembers a refusal, so that a late copy of the call does not run.
-func (g *Gate) refuseNew(now time.Time, r *record, refusal *ffcall.Error) {
-	if r != nil {
-		g.store.finish(now, r, nil, refusal)
-	}
-}
-
 // mayStart returns the route of a new call, or why none is started now.
-func (g *Gate) mayStart(now time.Time, c *ffcall.Call) (*ffconfig.Route, *ffcall.Error) {
+func (g *Gate) mayStart(now time.Time, c *ffcall.Call, v verdict) (*ffconfig.Route, *ffcall.Error) {
+	if refusal := g.mayUse(now, v); refusal != nil {
+		return nil, refusal
+	}
 	if g.drain.started() {
 		return nil, ffcall.Refuse("start", ffcall.KindLeaving, merry.New("the daemon is leaving"))
 	}
--- a/internal/ffgate/execution.go
+++ b/internal/ffgate/execution.go
@@ -57,10 +57,12 @@
 	go x.run()
 	select {
 	case <-x.record.done:
-		return x.reply, x.refusal
 	case <-ctx.Done():
-		return nil, unknown(ctx, "run")
+		if !x.record.over() {
+			return nil, unknown(ctx, "run")
+		}
 	}
+	return x.reply, x.refusal
 }
 
 // abandon takes the call out of the queue, or gives its unused slot back.
--- a/internal/ffgate/outcome.go
+++ b/internal/ffgate/outcome.go
@@ -16,20 +16,26 @@
 	defer cancel()
 	r := g.lookUp(callKey{customer, callID})
 	if r == nil {
-		return nil, g.report(&ffcall.Error{Op: "outcome", Err: merry.New("the call is not remembered")})
+		return nil, g.report(notRemembered())
 	}
 	return g.await(ctx, r)
 }
 
-// Settle is Outcome for the daemon that sent the attempt to this incarnation and
-// asks before the attempt's deadline: an attempt that never came is barred from
-// running later and reported as not run. The answer counts only when it arrives
-// before that deadline.
+// Settle is Outcome for the daemon that sent the attempt to this incarnation. An
+// attempt that never came is refused from then on and reported as not run. The
+// answer counts only while the attempt's deadline has not passed: until then no
+// outcome is forgotten unnoticed.
 func (g *Gate) Settle(ctx context.Context, callID, customer string, incarnation uint64, until time.Time) (*ffcall.Reply, error) {
-	if incarnation == g.Incarnation && g.bar(callKey{customer, callID}, until) {
-		return nil, g.report(neverCame())
+	if incarnation != g.Incarnation {
+		return nil, g.report(notRemembered())
 	}
-	return g.Outcome(ctx, callID, customer, until)
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	r, refusal := g.findOrBar(callKey{customer, callID})
+	if refusal != nil {
+		return nil, g.report(refusal)
+	}
+	return g.await(ctx, r)
 }
 
 func (g *Gate) lookUp(k callKey) *record {
@@ -40,17 +46,24 @@
 	return g.store.byCall[k]
 }
 
-// bar reports whether the call is unknown and will not run.
-func (g *Gate) bar(k callKey, until time.Time) bool {
+func (g *Gate) findOrBar(k callKey) (*record, *ffcall.Error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.prepare()
 	now := g.now()
 	g.store.sweep(now)
-	if _, known := g.store.byCall[k]; known || !now.Before(until) {
-		return false
+	if r, ok := g.store.byCall[k]; ok {
+		return r, nil
+	}
+	refusal := neverCame()
+	if !g.store.bar(now, k, refusal) {
+		return nil, notRemembered()
 	}
-	return g.store.bar(now, k, until, neverCame())
+	return nil, refusal
+}
+
+func notRemembered() *ffcall.Error {
+	return &ffcall.Error{Op: "outcome", Err: merry.New("the call is not remembered")}
 }
 
 func neverCame() *ffcall.Error {
@@ -62,8 +75,15 @@
 	select {
 	case <-r.done:
 	case <-ctx.Done():
-		return nil, g.report(unknown(ctx, "await"))
+		if !r.over() {
+			return nil, g.report(unknown(ctx, "await"))
+		}
 	}
+	return g.ended(r)
+}
+
+// ended returns what became of a call that has ended.
+func (g *Gate) ended(r *record) (*ffcall.Reply, error) {
 	g.mu.Lock()
 	reply, refusal := r.reply, r.refusal
 	g.mu.Unlock()
@@ -73,14 +93,21 @@
 	case reply == nil:
 		return nil, g.report(&ffcall.Error{Op: "await", Err: merry.New("the answer is no longer remembered")})
 	}
-	return g.answer(reply), nil
+	return g.answer(r, reply), nil
 }
 
-// answer returns a copy of a reply with the load of now.
-func (g *Gate) answer(reply *ffcall.Reply) *ffcall.Reply {
-	withLoad := *reply
-	withLoad.Load = g.Load()
-	return &withLoad
+// answer returns a copy of a reply with the load of now, and a token for the
+// customer's next call when the call was bound to this gate.
+func (g *Gate) answer(r *record, reply *ffcall.Reply) *ffcall.Reply {
+	answer := *reply
+	answer.Load = g.Load()
+	if !r.durable {
+		return &answer
+	}
+	if token, err := g.Mint(r.call.customer, r.route); err == nil {
+		answer.NextToken = token
+	}
+	return &answer
 }
 
 // report returns a copy of a refusal with the load of now, and counts it.
--- a/internal/ffgate/record.go
+++ b/internal/ffgate/record.go
@@ -14,6 +14,7 @@
 // attempt is one call as the records see it.
 type attempt struct {
 	call     callKey
+	route    string
 	token    fftoken.ID
 	hasToken bool
 	// digest is the hash of the request.
@@ -43,7 +44,7 @@
 	reply *ffcall.Reply
 	// refusal is set when the call got no answer from the target.
 	refusal *ffcall.Error
-	// expireAt is zero until the call has ended.
+	// expireAt is set when the call has ended.
 	expireAt time.Time
 	size     int
 	index    int
@@ -52,7 +53,15 @@
 	ownList *list.List
 }
 
-func (r *record) ended() bool { return !r.expireAt.IsZero() }
+// over reports whether the call has ended.
+func (r *record) over() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
 
 func (r *record) notRun() bool { return r.refusal != nil && r.refusal.Outcome == ffcall.OutcomeNotRun }
 
--- a/internal/ffgate/store.go
+++ b/internal/ffgate/store.go
@@ -61,16 +61,34 @@
 	}
 	if r.answers(a.call) {
 		s.byCall[a.call] = r
+	} else {
+		s.lose(a)
 	}
 	return r, nil
 }
 
+// refuse remembers a refusal, so that a late copy of the attempt does not run.
+func (s *store) refuse(now time.Time, a attempt, refusal *ffcall.Error) {
+	a.hasToken, a.durable = false, false
+	r, full := s.begin(a)
+	if full == nil {
+		s.finish(now, r, nil, refusal)
+	}
+}
+
+// lose notes that an attempt which came is not recorded.
+func (s *store) lose(a attempt) {
+	l := s.ledger(a.call.customer)
+	l.forgotUntil = later(l.forgotUntil, a.deadline.Add(repeatableMemory))
+}
+
 // begin records an attempt before the target may see it.
 func (s *store) begin(a attempt) (*record, *ffcall.Error) {
 	l := s.ledger(a.call.customer)
 	for l.records+1 > s.maxRecords-s.records-1 {
 		old := oldest(&l.evictable)
 		if old == nil {
+			s.lose(a)
 			return nil, ffcall.Refuse("begin", ffcall.KindOverload, merry.Errorf("%d outcomes of the customer are remembered", l.records))
 		}
 		s.evict(l, old)
@@ -163,11 +181,11 @@
 
 // bar records that a call which never came must not run. It reports false when
 // the gate cannot tell whether the call came.
-func (s *store) bar(now time.Time, k callKey, until time.Time, refusal *ffcall.Error) bool {
+func (s *store) bar(now time.Time, k callKey, refusal *ffcall.Error) bool {
 	if now.Before(s.ledger(k.customer).forgotUntil) {
 		return false
 	}
-	r, err := s.begin(attempt{call: k, barred: true, deadline: until})
+	r, err := s.begin(attempt{call: k, barred: true})
 	if err != nil {
 		return false
 	}
--- a/internal/ffgate/token.go
+++ b/internal/ffgate/token.go
@@ -35,39 +35,46 @@
 	return nil
 }
 
-// verify returns the claims of the call's token; nil when it has none. Expiry is
-// judged later, together with the records.
-func (g *Gate) verify(c *ffcall.Call) (*fftoken.Claims, *ffcall.Error) {
-	if c.Token == "" {
-		return nil, nil
-	}
-	route := ""
-	if c.Route != nil {
-		route = c.Route.Name
-	}
-	claims, err := g.Issuer.Verify(g.now(), c.Token, c.Customer, route)
-	if err == nil {
-		return &claims, nil
+// verdict is what the gate makes of the token of a call. The zero value is that
+// of a call without one.
+type verdict struct {
+	claims fftoken.Claims
+	// valid tells that this gate minted the token, however long ago.
+	valid bool
+	// refusal is set for a token that this gate did not mint for the call.
+	refusal *ffcall.Error
+}
+
+// verify judges all of a token but its expiry.
+func (g *Gate) verify(c *ffcall.Call) verdict {
+	if c.Token == "" || c.Route == nil {
+		return verdict{}
 	}
+	claims, err := g.Issuer.Verify(g.now(), c.Token, c.Customer, c.Route.Name)
 	var e *fftoken.Error
-	if !errors.As(err, &e) {
-		return nil, ffcall.Refuse("verify", ffcall.KindToken, err)
-	}
-	switch e.Kind {
-	case fftoken.KindExpired:
-		return &claims, nil
-	case fftoken.KindOtherGate:
+	switch {
+	case err == nil, errors.As(err, &e) && e.Kind == fftoken.KindExpired:
+		return verdict{claims: claims, valid: true}
+	case e != nil && e.Kind == fftoken.KindOtherGate:
 		// An earlier attempt may have run there.
-		return nil, &ffcall.Error{Op: "verify", Kind: ffcall.KindToken, Err: err}
+		return verdict{refusal: &ffcall.Error{Op: "verify", Kind: ffcall.KindToken, Err: err}}
 	}
-	return nil, ffcall.Refuse("verify", ffcall.KindToken, err)
+	return verdict{refusal: ffcall.Refuse("verify", ffcall.KindToken, err)}
 }
 
-// expired returns the refusal of a token that starts no call any more and has no
-// record. While outcomes of that age are remembered, this proves that it never ran.
-func (g *Gate) expired(now time.Time, claims *fftoken.Claims) *ffcall.Error {
+// mayUse returns why a token starts no call now. The caller holds the lock, so
+// that no record can expire between this look at the clock and the next record.
+func (g *Gate) mayUse(now time.Time, v verdict) *ffcall.Error {
+	if !v.valid {
+		return v.refusal
+	}
+	expireAt := g.Issuer.ExpireAt(v.claims)
+	if now.Before(expireAt) {
+		return nil
+	}
 	refusal := &ffcall.Error{Op: "verify", Kind: ffcall.KindToken, Err: merry.New("the token has expired")}
-	if now.Before(g.Issuer.ExpireAt(*claims).Add(durableMemory - fftoken.Life)) {
+	if now.Before(expireAt.Add(durableMemory - fftoken.Life)) {
+		// Had the token run a call, its record would still be there.
 		refusal.Outcome = ffcall.OutcomeNotRun
 	}
 	return refusal
