--- a/internal/ffdaemon/provide.go
+++ b/internal/ffdaemon/provide.go
@@ -40,6 +40,7 @@
 	provideSelf,
 	provideIncarnation,
 	provideDialer,
+	provideSwitches,
 	provideTrail,
 	provideRegistry,
 	provideState,
@@ -146,14 +147,14 @@
 	return fftarget.NewClient(fftarget.Settings{Address: s.Target})
 }
 
-func provideGate(s Settings, incarnation ffmember.Incarnation, target *fftarget.Client, store *ffdistribution.Store) (*ffgate.Gate, error) {
+func provideGate(s Settings, off switches, incarnation ffmember.Incarnation, target *fftarget.Client, store *ffdistribution.Store) (*ffgate.Gate, error) {
 	issuer, err := fftoken.NewIssuer(s.Name, uint64(incarnation), time.Now(), crand.Reader)
 	if err != nil {
 		return nil, err
 	}
 	return &ffgate.Gate{
 		VM: s.Name, Incarnation: uint64(incarnation), Service: s.Service,
-		Target: target, Snapshots: current{store: store}, Issuer: issuer,
+		Target: target, Snapshots: current{store: store}, Issuer: issuer, Off: off.gate,
 	}, nil
 }
 
@@ -163,8 +164,8 @@
 // Current returns the version in force; nil when there is none.
 func (c current) Current() *ffconfig.Snapshot { return c.store.Snapshot() }
 
-func provideChooser(s Settings) *ffbalance.Chooser {
-	return &ffbalance.Chooser{Entry: s.Name, DataCentre: s.DataCentre, Draw: rand.Uint64}
+func provideChooser(s Settings, off switches) *ffbalance.Chooser {
+	return &ffbalance.Chooser{Entry: s.Name, DataCentre: s.DataCentre, Draw: rand.Uint64, Off: off.balance}
 }
 
 func provideRetry() *ffretry.Policy { return &ffretry.Policy{Draw: rand.Float64} }
@@ -191,12 +192,12 @@
 }
 
 func provideEntry(
-	s Settings, store *ffdistribution.Store, members *ffdistribution.Members, limiter *fflimit.Limiter,
+	s Settings, off switches, store *ffdistribution.Store, members *ffdistribution.Members, limiter *fflimit.Limiter,
 	chooser *ffbalance.Chooser, retry *ffretry.Policy, gate *ffgate.Gate, remote *ffforward.Client,
 ) *ffentry.Entry {
 	return &ffentry.Entry{
 		Self: s.Name, Snapshots: store, Members: members, Limiter: limiter,
-		Chooser: chooser, Retry: retry, Gate: gate, Remote: remote,
+		Chooser: chooser, Retry: retry, Gate: gate, Remote: remote, NoHedge: off.noHedge,
 	}
 }
 
--- a/internal/ffdaemon/settings.go
+++ b/internal/ffdaemon/settings.go
@@ -29,6 +29,7 @@
 	PlatformRate    float64       `arg:"--platform-rate,env:FIREFLYFALL_PLATFORM_RATE" default:"2000" placeholder:"N" help:"calls a second that the platform allows over all readers"`
 	MaxFleet        int           `arg:"--max-fleet,env:FIREFLYFALL_MAX_FLEET" default:"5200" placeholder:"N" help:"greatest number of daemons, assumed while the fleet is unknown"`
 	DrainTimeout    time.Duration `arg:"--drain-timeout,env:FIREFLYFALL_DRAIN_TIMEOUT" default:"10m" placeholder:"DURATION" help:"greatest time that a planned stop waits for calls in flight"`
+	Off             []string      `arg:"--off,env:FIREFLYFALL_OFF" placeholder:"POLICY" help:"policies to turn off, to compare with and without: roundRobin, noLoad, noShunning, noSpill, oneQueue, noReserve, noRefusal, noHedge"`
 	LogLevel        string        `arg:"--log-level,env:FIREFLYFALL_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 }
 
@@ -57,6 +58,9 @@
 	f.require(s.PlatformRate > 0 && s.PlatformRate <= maxPlatformRate, "platform-rate", s.PlatformRate, "above 0 and at most 1000000")
 	f.require(s.MaxFleet >= 1 && s.MaxFleet <= maxFleet, "max-fleet", s.MaxFleet, "1 to 100000")
 	f.require(s.DrainTimeout >= minDrainTimeout && s.DrainTimeout <= maxDrainTimeout, "drain-timeout", s.DrainTimeout, "1s to 24h")
+	for _, name := range s.Off {
+		f.require(policies[name] != nil, "off", name, "one of "+policyNames())
+	}
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	f.require(err == nil, "log-level", s.LogLevel, "debug, info, warn or error")
 	if len(f) > 0 {
--- a/internal/ffdaemon/wire_gen.go
+++ b/internal/ffdaemon/wire_gen.go
@@ -36,15 +36,16 @@
 	ffdaemonState := provideState(vm, incarnation, node, store, members)
 	limiter := provideLimiter(s, incarnation)
 	exchange := provideExchange(limiter, pool)
+	ffdaemonSwitches := provideSwitches(s)
 	fftargetClient := provideTarget(s)
-	gate, err := provideGate(s, incarnation, fftargetClient, store)
+	gate, err := provideGate(s, ffdaemonSwitches, incarnation, fftargetClient, store)
 	if err != nil {
 		return nil, err
 	}
-	chooser := provideChooser(s)
+	chooser := provideChooser(s, ffdaemonSwitches)
 	policy := provideRetry()
 	ffforwardClient := provideRemote(dialer)
-	entry := provideEntry(s, store, members, limiter, chooser, policy, gate, ffforwardClient)
+	entry := provideEntry(s, ffdaemonSwitches, store, members, limiter, chooser, policy, gate, ffforwardClient)
 	metrics := ffcaller.NewMetrics(registry)
 	handler := ffcaller.NewHandler(entry, metrics)
 	ffoperatorHandler := provideOperator(s, ffdaemonState, trail, registry)
--- a/internal/ffentry/entry.go
+++ b/internal/ffentry/entry.go
@@ -59,6 +59,8 @@
 	Retry     *ffretry.Policy
 	Gate      Gate
 	Remote    Remote
+	// NoHedge turns hedged attempts off, to compare with and without them.
+	NoHedge bool
 }
 
 // Serve takes an admitted call to its answer. Its error is an *ffcall.Error.
--- a/internal/ffentry/session.go
+++ b/internal/ffentry/session.go
@@ -48,7 +48,7 @@
 		return nil, err
 	}
 	hedgeAt, ok := s.entry.Retry.HedgeAt(s.contract, s.call, time.Now())
-	if !ok {
+	if !ok || s.entry.NoHedge {
 		return s.attempt(ctx, s.next(vm), vm)
 	}
 	return s.race(ctx, vm, hedgeAt)
--- a/internal/ffgate/do.go
+++ b/internal/ffgate/do.go
@@ -88,14 +88,7 @@
 
 func (g *Gate) newExecution(now time.Time, c *ffcall.Call, r *record, route *ffconfig.Route) *execution {
 	x := &execution{gate: g, call: c, record: r, probe: !g.health.ready(), queuedAt: now, decided: make(chan *ffcall.Error, 1)}
-	x.item = &ffqueue.Item[*execution]{
-		Customer: c.Customer,
-		Class:    route.Class,
-		Share:    c.Share,
-		Deadline: c.Deadline,
-		Estimate: g.estimator.Estimate(now, route.Name, route.Class),
-		Value:    x,
-	}
+	x.item = g.Off.item(x, c, route.Class, g.estimator.Estimate(now, route.Name, route.Class))
 	return x
 }
 
--- a/internal/ffgate/gate.go
+++ b/internal/ffgate/gate.go
@@ -47,6 +47,8 @@
 	// with them, in bytes; zero means the default.
 	MaxRecords int
 	MaxBytes   int
+	// Off turns policies off.
+	Off Switches
 
 	mu        sync.Mutex
 	config    config
@@ -82,8 +84,7 @@
 // setLimits passes the slots in use on to the queue. The caller holds the lock.
 func (g *Gate) setLimits() {
 	s := g.config.service
-	slots := g.limiter.slots(s.Slots)
-	g.queue.SetLimits(ffqueue.Limits{Slots: slots, LongSlots: min(s.LongSlots, slots-1), Length: s.QueueLength})
+	g.queue.SetLimits(g.Off.limits(s, g.limiter.slots(s.Slots)))
 }
 
 func (g *Gate) now() time.Time {
--- a/internal/ffqueue/queue.go
+++ b/internal/ffqueue/queue.go
@@ -30,6 +30,8 @@
 	LongSlots int
 	// Length bounds the calls that wait.
 	Length int
+	// Patient keeps calls until their deadline has passed, even when it cannot be met.
+	Patient bool
 }
 
 // Queue orders the calls that wait for a slot. It is start-time fair queueing
@@ -79,7 +81,7 @@
 // is full, the newest item of the flow that holds most for its share gives way:
 // Push returns it, or refuses the new item when that is the one.
 func (q *Queue[T]) Push(now time.Time, it *Item[T]) (evicted *Item[T], err error) {
-	if !it.Deadline.After(now.Add(q.Wait(it) + it.Estimate.Fast)) {
+	if q.late(it, now, q.Wait(it)) {
 		return nil, &Error{Op: "push", Kind: KindDeadline, Err: merry.New("the deadline cannot be met")}
 	}
 	if q.Len() >= q.limits.Length {
@@ -92,6 +94,14 @@
 	return evicted, nil
 }
 
+// late reports whether an item that still waits for a time misses its deadline.
+func (q *Queue[T]) late(it *Item[T], now time.Time, wait time.Duration) bool {
+	if q.limits.Patient {
+		return !it.Deadline.After(now)
+	}
+	return !it.Deadline.After(now.Add(wait + it.Estimate.Fast))
+}
+
 // Wait estimates how long an item would wait for its slot if it came now. It
 // counts no more than the work that is ahead in fair order.
 func (q *Queue[T]) Wait(it *Item[T]) time.Duration {
@@ -148,7 +158,7 @@
 	it := f.head()
 	start, price := f.start, f.price(it.Estimate.Cost)
 	q.Remove(it)
-	if !it.Deadline.After(now.Add(it.Estimate.Fast)) {
+	if q.late(it, now, 0) {
 		return it, DecisionLate
 	}
 	q.virtual = max(q.virtual, start)
