--- a/internal/ffstand/control_test.go
+++ b/internal/ffstand/control_test.go
@@ -38,8 +38,8 @@
 	for path, want := range map[string]string{
 		"/v1/values/pieces/ab": "piece",
 		"/v1/values/manifest":  "one",
-		"/v1/vms": `[{"name":"a","dataCentre":"","service":"","peerAddress":"","forwardAddress":"","state":"leaving"},` +
-			`{"name":"c","dataCentre":"","service":"","peerAddress":"","forwardAddress":"","state":"live"}]`,
+		"/v1/vms": `[{"name":"a","dataCentre":"","service":"","peerAddress":"","forwardAddress":"","operatorAddress":"","state":"leaving"},` +
+			`{"name":"c","dataCentre":"","service":"","peerAddress":"","forwardAddress":"","operatorAddress":"","state":"live"}]`,
 	} {
 		if got := get(t, p, path).Body.String(); got != want {
 			t.Fatalf("%s gives %s, want %s", path, got, want)
