--- a/internal/ffdeployment/node.go
+++ b/internal/ffdeployment/node.go
@@ -102,5 +102,8 @@
 	return n.deployment.operators.Audit(ctx, n.ports.operator)
 }
 
+// TargetAddress returns the address of the target itself.
+func (n *Node) TargetAddress() string { return n.ports.target }
+
 // Operator returns the daemon's address for operators.
 func (n *Node) Operator() string { return n.ports.operator }
--- /dev/null
+++ b/internal/ffexperiment/crest.go
@@ -0,0 +1,76 @@
+package ffexperiment
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	crestTargets = 6
+	// crestFactor is the demand at the crest in units of capacity.
+	crestFactor = 3
+	// crestPatience is how long an answer is wanted.
+	crestPatience = 400 * time.Millisecond
+	// smallRate is the rate of the small customer, well within its contract.
+	smallRate = 30
+	// floodRate is the rate of the careless customer.
+	floodRate = 600
+
+	crestGoodput = 0.9
+	crestShare   = 0.99
+)
+
+// crest measures service while the demand is a multiple of the capacity and a
+// careless customer floods.
+type crest struct{}
+
+// crestFigures are what a crest came to.
+type crestFigures struct {
+	// Goodput is the answers in time of all customers in units of capacity.
+	Goodput float64 `json:"goodput"`
+	// SmallServed is the part of the small customer's calls that was answered in time.
+	SmallServed float64 `json:"smallServed"`
+	// SmallP99Millis is the latency of the small customer.
+	SmallP99Millis float64 `json:"smallP99Millis"`
+	// LargeP99Millis is the latency of the large customer's answered calls.
+	LargeP99Millis float64 `json:"largeP99Millis"`
+	// CarelessPerSecond is the rate at which the careless customer was answered.
+	CarelessPerSecond float64 `json:"carelessPerSecond"`
+	// Late is the part of all calls that was answered too late.
+	Late float64 `json:"late"`
+}
+
+// Run measures the baseline and the product.
+func (e crest) Run(ctx context.Context, s Setup) (Report, error) {
+	report, product, err := compare(s, func(off ...string) (crestFigures, error) { return e.measure(ctx, s, off...) })
+	report.Target = "goodput at 3 times the demand at least 0.9 of capacity; small customer served at least 0.99"
+	report.Met = product.Goodput >= crestGoodput && product.SmallServed >= crestShare
+	return report, err
+}
+
+func (crest) measure(ctx context.Context, s Setup, off ...string) (crestFigures, error) {
+	m, err := startMesh(ctx, s, crestTargets, targetArgs(work, time.Second), off...)
+	if err != nil {
+		return crestFigures{}, err
+	}
+	defer m.close()
+	m.warm(ctx)
+	capacity := crestTargets * slots / work.Seconds()
+	results := m.run(
+		ctx, s.For,
+		m.lookups("large", crestFactor*capacity-smallRate, crestPatience),
+		m.lookups("small", smallRate, crestPatience),
+		m.lookups("careless", floodRate, crestPatience),
+	)
+	large, small, careless := results[0], results[1], results[2]
+	answered := large.Answered + small.Answered + careless.Answered
+	sent := large.Sent + small.Sent + careless.Sent
+	return crestFigures{
+		Goodput:           float64(answered) / s.For.Seconds() / capacity,
+		SmallServed:       small.Served(),
+		SmallP99Millis:    millis(small.Percentile(99)),
+		LargeP99Millis:    millis(large.Percentile(99)),
+		CarelessPerSecond: float64(careless.Answered) / s.For.Seconds(),
+		Late:              float64(large.Late+small.Late+careless.Late) / float64(sent),
+	}, nil
+}
--- /dev/null
+++ b/internal/ffexperiment/headofline.go
@@ -0,0 +1,71 @@
+package ffexperiment
+
+import (
+	"context"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffgenerator"
+)
+
+const (
+	lineTargets = 4
+	// lineLoad is the short work in units of capacity.
+	lineLoad = 0.4
+	// lineBatches is the rate of long calls, more than the slots for long work take.
+	lineBatches = 6
+	// lineWork is the service time of long work.
+	lineWork = 1500 * time.Millisecond
+	// lineRatio bounds the latency beside long work in units of that without.
+	lineRatio = 1.5
+)
+
+// headOfLine measures how long short work waits behind long work.
+type headOfLine struct{}
+
+// lineFigures compare short work with and without long work beside it.
+type lineFigures struct {
+	AloneP50Millis  float64 `json:"aloneP50Millis"`
+	AloneP99Millis  float64 `json:"aloneP99Millis"`
+	BesideP50Millis float64 `json:"besideP50Millis"`
+	BesideP99Millis float64 `json:"besideP99Millis"`
+	// Ratio is the latency at the 99th percentile beside long work in units of that without.
+	Ratio float64 `json:"ratio"`
+	// ShortServed is the part of the short calls beside long work that was answered.
+	ShortServed float64 `json:"shortServed"`
+	// BatchesPerSecond is the rate at which long calls were answered.
+	BatchesPerSecond float64 `json:"batchesPerSecond"`
+}
+
+// Run measures the baseline and the product.
+func (e headOfLine) Run(ctx context.Context, s Setup) (Report, error) {
+	report, product, err := compare(s, func(off ...string) (lineFigures, error) { return e.measure(ctx, s, off...) })
+	report.Target = "99th percentile of short work beside long work at most 1.5 times that without"
+	report.Met = product.Ratio <= lineRatio && product.ShortServed >= crestShare
+	return report, err
+}
+
+func (headOfLine) measure(ctx context.Context, s Setup, off ...string) (lineFigures, error) {
+	m, err := startMesh(ctx, s, lineTargets, targetArgs(work, lineWork), off...)
+	if err != nil {
+		return lineFigures{}, err
+	}
+	defer m.close()
+	m.warm(ctx)
+	rate := lineLoad * lineTargets * slots / work.Seconds()
+	alone := m.run(ctx, s.For, m.lookups("large", rate, 0))[0]
+	results := m.run(ctx, s.For, m.lookups("large", rate, 0), m.batches("small", lineBatches))
+	return lineFiguresOf(s, alone, results[0], results[1]), nil
+}
+
+func lineFiguresOf(s Setup, alone, beside, batches *ffgenerator.Result) lineFigures {
+	f := lineFigures{
+		AloneP50Millis:   millis(alone.Percentile(50)),
+		AloneP99Millis:   millis(alone.Percentile(99)),
+		BesideP50Millis:  millis(beside.Percentile(50)),
+		BesideP99Millis:  millis(beside.Percentile(99)),
+		ShortServed:      beside.Served(),
+		BatchesPerSecond: float64(batches.Answered) / s.For.Seconds(),
+	}
+	f.Ratio = f.BesideP99Millis / f.AloneP99Millis
+	return f
+}
--- a/internal/ffgenerator/generator.go
+++ b/internal/ffgenerator/generator.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"fireflyfall.dev/fireflyfall/pkg/ffclient"
 )
 
 const (
@@ -109,6 +111,9 @@
 	} else {
 		done.Answer, done.Err = s.Client.Do(ctx, s.Request)
 	}
+	if s.Direct && done.Answer != nil && done.Answer.Status == http.StatusOK {
+		done.Answer.Outcome = ffclient.OutcomeRan
+	}
 	done.Ended = time.Now()
 	c.sender.result.record(done, s.Patience, c.sender.keep)
 }
--- a/internal/ffgenerator/stream.go
+++ b/internal/ffgenerator/stream.go
@@ -23,6 +23,8 @@
 	// Patience is how long after its start a call's answer is still wanted; calls
 	// answered later count as late. No bound when zero.
 	Patience time.Duration
+	// Direct tells that targets answer without a daemon: status 200 stands for a call that ran.
+	Direct bool
 	// Start and Stop bound the stream within the run, from its start; zero Stop
 	// stands for the end.
 	Start, Stop time.Duration
--- a/internal/ffload/main.go
+++ b/internal/ffload/main.go
@@ -18,7 +18,8 @@
 
 // arguments are all commands; each field is one.
 type arguments struct {
-	Demo *Demo `arg:"subcommand:demo" help:"run a deployment on loopback and show the whole path"`
+	Demo       *Demo       `arg:"subcommand:demo" help:"run a deployment on loopback and show the whole path"`
+	Experiment *Experiment `arg:"subcommand:experiment" help:"measure the product against a baseline and print one JSON line"`
 }
 
 // Description returns what the help says of the program.
