--- a/internal/ffstand/control_test.go
+++ b/internal/ffstand/control_test.go
@@ -1,6 +1,7 @@
 package ffstand_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -8,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
 	"fireflyfall.dev/fireflyfall/internal/ffstand"
 )
@@ -38,13 +41,16 @@
 	for path, want := range map[string]string{
 		"/v1/values/pieces/ab": "piece",
 		"/v1/values/manifest":  "one",
-		"/v1/vms": `[{"name":"a","dataCentre":"","service":"","peerAddress":"","forwardAddress":"","state":"leaving"},` +
-			`{"name":"c","dataCentre":"","service":"","peerAddress":"","forwardAddress":"","state":"live"}]`,
 	} {
 		if got := get(t, p, path).Body.String(); got != want {
 			t.Fatalf("%s gives %s, want %s", path, got, want)
 		}
 	}
+	var vms []ffmember.VM
+	do(json.Unmarshal(get(t, p, "/v1/vms").Body.Bytes(), &vms))
+	if diff := cmp.Diff([]ffmember.VM{{Name: "a", State: ffmember.StateLeaving}, {Name: "c"}}, vms); diff != "" {
+		t.Fatal(diff)
+	}
 	counters, err := control.Counters(ctx)
 	if do(err); counters.Requests != 3 {
 		t.Fatalf("counters %+v", counters)
