Drop idle connections once one has gone silent

Cause: when something between the two ends loses track of the open connections, each idle one cost a call its answer, one after the other: with 4 idle connections silenced, the call after the first failed one ran into its deadline of 5 s too, and so did the reading of the platform (2 s).

A call that meets its deadline without the header of an answer, and any failed request to the platform, now closes the idle connections. Weighed: heartbeats on idle connections (HTTP/1.1 has none), and a short idle timeout alone (4 s at the target, which is many calls). Cost: calls that meet their deadline at a slow target open new connections.

TestSilentConnectionsCostOneCall and TestSilentConnectionsCostOneReading failed before the change and pass after it.

--- a/internal/ffplatform/client.go
+++ b/internal/ffplatform/client.go
@@ -147,6 +147,8 @@
 	}
 	resp, err := c.http.Do(r)
 	if err != nil {
+		// What silenced this connection may have silenced the idle ones too.
+		c.http.CloseIdleConnections()
 		return Value{}, q.fail(KindUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/fftarget/attempt.go
+++ b/internal/fftarget/attempt.go
@@ -66,7 +66,12 @@
 	}
 	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
-		return nil, a.fail(ctx, ffcall.KindUnreachable, err)
+		failure := a.fail(ctx, ffcall.KindUnreachable, err)
+		if failure.Kind == ffcall.KindDeadline {
+			// What silenced this connection may have silenced the idle ones too.
+			c.transport.CloseIdleConnections()
+		}
+		return nil, failure
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, kind, err := c.readBody(resp)
