Page of every declaration field; a service needs a connection for each slot

Writing the page showed that nothing reads a service's `connections`: the bound holds only because the gate runs at most `slots` calls at once. Fewer connections than slots was accepted, so that promise could be broken by a declaration.

Weighed: pass connections on to the client of the target (its bound would then make calls wait outside the fair queue), or refuse the contradiction.

Seeds of the fuzz tests keep connections in step.

--- a/pkg/ffconfig/mesh_test.go
+++ b/pkg/ffconfig/mesh_test.go
@@ -22,12 +22,13 @@
 func drawMesh(t *rapid.T) mesh {
 	var m mesh
 	for i := range rapid.IntRange(1, 3).Draw(t, "services") {
+		slots := rapid.IntRange(2, ffconfig.MaxSlots).Draw(t, "slots")
 		m.services = append(m.services, ffconfig.Service{
 			Name:        fmt.Sprintf("service-%d", i),
 			Resources:   []string{"records", fmt.Sprintf("resource-%d", i)},
-			Slots:       rapid.IntRange(2, ffconfig.MaxSlots).Draw(t, "slots"),
+			Slots:       slots,
 			LongSlots:   1,
-			Connections: rapid.IntRange(1, ffconfig.MaxConnections).Draw(t, "connections"),
+			Connections: rapid.IntRange(slots, ffconfig.MaxConnections).Draw(t, "connections"),
 			QueueLength: rapid.IntRange(1, ffconfig.MaxQueueLength).Draw(t, "queueLength"),
 		})
 	}
--- a/pkg/ffconfig/service.go
+++ b/pkg/ffconfig/service.go
@@ -12,7 +12,7 @@
 	Slots int `json:"slots" yaml:"slots"`
 	// LongSlots bounds the slots of one target that long work may hold; below Slots.
 	LongSlots int `json:"longSlots" yaml:"longSlots"`
-	// Connections is the number of connections that one target accepts.
+	// Connections is the number of connections that one target accepts; at least Slots.
 	Connections int `json:"connections" yaml:"connections"`
 	// QueueLength bounds the calls that wait at one target.
 	QueueLength int `json:"queueLength" yaml:"queueLength"`
--- a/pkg/ffconfig/validate.go
+++ b/pkg/ffconfig/validate.go
@@ -57,6 +57,7 @@
 	f.between("slots", int64(s.Slots), 1, MaxSlots)
 	f.between("longSlots", int64(s.LongSlots), 0, int64(s.maxLongSlots()))
 	f.between("connections", int64(s.Connections), 1, MaxConnections)
+	f.require("connections", s.Connections < 1 || s.Connections >= s.Slots, merry.Errorf("is %d, but slots is %d; each slot needs a connection of its own", s.Connections, s.Slots).Error())
 	f.between("queueLength", int64(s.QueueLength), 1, MaxQueueLength)
 	return f
 }
--- a/pkg/ffdeclaration/example_test.go
+++ b/pkg/ffdeclaration/example_test.go
@@ -1,9 +1,11 @@
 package ffdeclaration_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"testing"
 
@@ -84,3 +86,18 @@
 		t.Errorf("route %s is missing or idempotent", name)
 	}
 }
+
+// The operators' page names every field of every declaration.
+func TestPageNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CONTRACTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, declaration := range []any{ffconfig.Contract{}, ffconfig.Service{}, ffconfig.Route{}} {
+		for _, field := range reflect.VisibleFields(reflect.TypeOf(declaration)) {
+			if name := "`" + field.Tag.Get("yaml") + "`"; !bytes.Contains(page, []byte(name)) {
+				t.Errorf("docs/CONTRACTS.md lacks %s", name)
+			}
+		}
+	}
+}
--- a/pkg/ffdeclaration/mesh_test.go
+++ b/pkg/ffdeclaration/mesh_test.go
@@ -92,7 +92,7 @@
 		Resources:   d.some("resources", allNames),
 		Slots:       d.between("slots", 2, 3),
 		LongSlots:   d.between("longSlots", 1, 1),
-		Connections: d.between("connections", 1, 5),
+		Connections: d.between("connections", 3, 5),
 		QueueLength: d.between("queueLength", 1, 5),
 	}
 }
