Validate without formatting messages that nobody reads

Cause: every daemon validates every piece of every version.

The messages are the same: the scripts of broken declarations pass unchanged.

--- a/internal/ffcommand/explain.go
+++ b/internal/ffcommand/explain.go
@@ -40,7 +40,7 @@
 	c := x.Contract
 	fmt.Fprintf(w, "customer %s\n", c.Customer)
 	fmt.Fprintf(w, "  keys            %d\n", len(c.KeyHashes))
-	fmt.Fprintf(w, "  share           %d of %d, %.1f%% of all customers together\n", x.Share.Share, x.Share.Sum, x.Share.Percent())
+	fmt.Fprintf(w, "  share           %d of %d, %.3g%% of all customers together\n", x.Share.Share, x.Share.Sum, x.Share.Percent())
 	fmt.Fprintf(w, "  ratePerSecond   %g calls a second over all data centres\n", c.RatePerSecond)
 	fmt.Fprintf(w, "  burst           %d calls at once above the rate\n", c.Burst)
 	fmt.Fprintf(w, "  concurrency     %d calls in flight over all data centres\n", c.Concurrency)
@@ -54,8 +54,8 @@
 	v := s.Service
 	others := cmp.Or(strings.Join(s.Others, ", "), "nobody")
 	fmt.Fprintf(w, "service %s\n", v.Name)
-	fmt.Fprintf(w, "  share           %d of %d, %.1f%%; shared with %s\n", s.Share.Share, s.Share.Sum, s.Share.Percent(), others)
-	fmt.Fprintf(w, "  slots           %.1f of %d of each target while all of these have calls waiting; %d of %d for long work\n", s.SlotsUnderLoad(), v.Slots, v.LongSlots, v.Slots)
+	fmt.Fprintf(w, "  share           %d of %d, %.3g%%; shared with %s\n", s.Share.Share, s.Share.Sum, s.Share.Percent(), others)
+	fmt.Fprintf(w, "  slots           %.3g of %d of each target while all of these have calls waiting; %d of %d for long work\n", s.SlotsUnderLoad(), v.Slots, v.LongSlots, v.Slots)
 	fmt.Fprintf(w, "  queueLength     %d calls wait at one target\n", v.QueueLength)
 }
 
--- a/pkg/ffconfig/validate.go
+++ b/pkg/ffconfig/validate.go
@@ -1,11 +1,10 @@
 package ffconfig
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
-
-	"github.com/ansel1/merry/v2"
 )
 
 // Bounds of the fields of a configuration.
@@ -57,7 +56,7 @@
 	f.between("slots", int64(s.Slots), 1, MaxSlots)
 	f.between("longSlots", int64(s.LongSlots), 0, int64(s.maxLongSlots()))
 	f.between("connections", int64(s.Connections), 1, MaxConnections)
-	f.require("connections", s.Connections < 1 || s.Connections >= s.Slots, merry.Errorf("is %d, but slots is %d; each slot needs a connection of its own", s.Connections, s.Slots).Error())
+	f.require("connections", s.Connections < 1 || s.Connections >= s.Slots, "is %d, but slots is %d; each slot needs a connection of its own", s.Connections, s.Slots)
 	f.between("queueLength", int64(s.QueueLength), 1, MaxQueueLength)
 	return f
 }
@@ -76,13 +75,15 @@
 
 var methods = []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
+var methodNames = strings.Join(methods, ", ")
+
 // Validate returns every field of the route whose value is not allowed.
 func (r *Route) Validate() []Fault {
 	var f faults
 	f.name("route", r.Name)
-	f.require("method", slices.Contains(methods, r.Method), "must be one of "+strings.Join(methods, ", "))
+	f.require("method", slices.Contains(methods, r.Method), "must be one of %s", methodNames)
 	f.require("path", strings.HasPrefix(r.Path, "/") && !strings.ContainsAny(r.Path, "?# "), "must start with / and hold no ?, # or space")
-	f.require("path", !strings.HasPrefix(r.Path+"/", reservedPath), "must not start with "+reservedPath+", which the daemon serves itself")
+	f.require("path", !strings.HasPrefix(r.Path+"/", reservedPath), "must not start with %s, which the daemon serves itself", reservedPath)
 	f.name("service", r.Service)
 	f.name("resource", r.Resource)
 	f.between("timeoutMillis", r.TimeoutMillis, 1, MaxTimeoutMillis)
@@ -91,25 +92,27 @@
 
 type faults []Fault
 
-func (f *faults) require(field string, ok bool, message string) {
+// require adds a fault unless ok. The message is formatted only then, since
+// every daemon validates every piece of every version.
+func (f *faults) require(field string, ok bool, format string, args ...any) {
 	if !ok {
-		*f = append(*f, Fault{Field: field, Message: message})
+		*f = append(*f, Fault{Field: field, Message: fmt.Sprintf(format, args...)})
 	}
 }
 
 func (f *faults) between(field string, n, low, high int64) {
-	f.require(field, n >= low && n <= high, merry.Errorf("is %d, allowed are %d to %d", n, low, high).Error())
+	f.require(field, n >= low && n <= high, "is %d, allowed are %d to %d", n, low, high)
 }
 
 func (f *faults) name(field, name string) {
-	f.require(field, validName(name), merry.Errorf("%q is not a name: 1 to 63 lower-case letters, digits or hyphens", name).Error())
+	f.require(field, validName(name), "%q is not a name: 1 to 63 lower-case letters, digits or hyphens", name)
 }
 
 func (f *faults) names(field string, names []string) {
 	f.require(field, len(names) > 0, "must name at least one")
 	for i, n := range names {
 		f.name(field, n)
-		f.require(field, !slices.Contains(names[:i], n), "names "+n+" twice")
+		f.require(field, !slices.Contains(names[:i], n), "names %s twice", n)
 	}
 }
 
