--- a/pkg/ffconfig/snapshot.go
+++ b/pkg/ffconfig/snapshot.go
@@ -14,6 +14,7 @@
 type Snapshot struct {
 	version   Version
 	manifest  Manifest
+	pieces    map[PieceRef]any // *Contract, *Service or *Route
 	contracts map[string]*Contract
 	byKeyHash map[Digest]*Contract
 	services  map[string]*Service
@@ -24,80 +25,101 @@
 // error, and no snapshot, when any piece is missing, corrupt, invalid or refers
 // to something that the version lacks.
 func NewSnapshot(m Manifest, v Version, content map[Digest][]byte) (*Snapshot, error) {
+	return (*Snapshot)(nil).Next(m, v, content)
+}
+
+// Next returns the snapshot of another version, as NewSnapshot does, but takes
+// over the pieces that s holds already. They are immutable and were validated,
+// so they are not decoded again, and content may lack them. s may be nil.
+func (s *Snapshot) Next(m Manifest, v Version, content map[Digest][]byte) (*Snapshot, error) {
 	if err := m.validate(); err != nil {
 		return nil, err
 	}
-	s := &Snapshot{
+	next := &Snapshot{
 		version:   v,
 		manifest:  m,
+		pieces:    make(map[PieceRef]any, len(m.Pieces)),
 		contracts: make(map[string]*Contract),
 		byKeyHash: make(map[Digest]*Contract),
 		services:  make(map[string]*Service),
 	}
 	for _, p := range m.Pieces {
-		if err := s.add(p, content); err != nil {
+		if err := next.add(p, s, content); err != nil {
 			return nil, err
 		}
 	}
-	slices.SortFunc(s.routes, func(a, b *Route) int {
+	slices.SortFunc(next.routes, func(a, b *Route) int {
 		return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), cmp.Compare(a.Name, b.Name))
 	})
-	if err := s.checkReferences(); err != nil {
+	if err := next.checkReferences(); err != nil {
 		return nil, err
 	}
-	return s, nil
+	return next, nil
 }
 
-func (s *Snapshot) add(p PieceRef, content map[Digest][]byte) error {
-	c, ok := content[p.Digest]
+// add takes a piece over from the snapshot before, or else decodes it.
+func (s *Snapshot) add(p PieceRef, before *Snapshot, content map[Digest][]byte) error {
+	value, ok := before.piece(p)
 	if !ok {
-		return &Error{Op: "apply", Kind: KindMissing, Piece: p.Name, Err: merry.New("content is missing")}
+		var err error
+		if value, err = decode(p, content); err != nil {
+			return err
+		}
 	}
-	if err := p.Check(c); err != nil {
-		return err
+	s.pieces[p] = value
+	switch value := value.(type) {
+	case *Contract:
+		return s.addContract(value)
+	case *Service:
+		s.services[value.Name] = value
+	case *Route:
+		s.routes = append(s.routes, value)
 	}
-	switch p.Kind {
-	case PieceContract:
-		return s.addContract(p, c)
-	case PieceService:
-		return s.addService(p, c)
-	case PieceRoute:
-		return s.addRoute(p, c)
-	}
-	return &Error{Op: "apply", Kind: KindInvalid, Piece: p.Name, Field: "kind", Err: merry.Errorf("%d is not a piece kind", int(p.Kind))}
+	return nil
 }
 
-func (s *Snapshot) addContract(p PieceRef, content []byte) error {
-	c := &Contract{}
-	if err := decodePiece(p, content, c, func() (string, []Fault) { return c.Customer, c.Validate() }); err != nil {
-		return err
+// piece returns the decoded value of exactly this piece.
+func (s *Snapshot) piece(p PieceRef) (any, bool) {
+	if s == nil {
+		return nil, false
 	}
-	s.contracts[c.Customer] = c
+	value, ok := s.pieces[p]
+	return value, ok
+}
+
+// addContract adds a contract whose keys no other customer has.
+func (s *Snapshot) addContract(c *Contract) error {
 	for _, h := range c.KeyHashes {
 		if other, ok := s.byKeyHash[h]; ok {
-			return &Error{Op: "apply", Kind: KindInvalid, Piece: p.Name, Field: "keyHashes", Err: merry.Errorf("customer %s has the same key", other.Customer)}
+			return &Error{Op: "apply", Kind: KindInvalid, Piece: c.Customer, Field: "keyHashes", Err: merry.Errorf("customer %s has the same key", other.Customer)}
 		}
 		s.byKeyHash[h] = c
 	}
+	s.contracts[c.Customer] = c
 	return nil
 }
 
-func (s *Snapshot) addService(p PieceRef, content []byte) error {
-	v := &Service{}
-	if err := decodePiece(p, content, v, func() (string, []Fault) { return v.Name, v.Validate() }); err != nil {
-		return err
+// decode returns the verified and validated value of a piece: a *Contract, *Service or *Route.
+func decode(p PieceRef, content map[Digest][]byte) (any, error) {
+	raw, ok := content[p.Digest]
+	if !ok {
+		return nil, &Error{Op: "apply", Kind: KindMissing, Piece: p.Name, Err: merry.New("content is missing")}
 	}
-	s.services[v.Name] = v
-	return nil
-}
-
-func (s *Snapshot) addRoute(p PieceRef, content []byte) error {
-	r := &Route{}
-	if err := decodePiece(p, content, r, func() (string, []Fault) { return r.Name, r.Validate() }); err != nil {
-		return err
+	if err := p.Check(raw); err != nil {
+		return nil, err
 	}
-	s.routes = append(s.routes, r)
-	return nil
+	switch p.Kind {
+	case PieceContract:
+		c := &Contract{}
+		return c, decodePiece(p, raw, c, func() (string, []Fault) { return c.Customer, c.Validate() })
+	case PieceService:
+		v := &Service{}
+		return v, decodePiece(p, raw, v, func() (string, []Fault) { return v.Name, v.Validate() })
+	case PieceRoute:
+		r := &Route{}
+		return r, decodePiece(p, raw, r, func() (string, []Fault) { return r.Name, r.Validate() })
+	}
+	return nil, &Error{Op: "apply", Kind: KindInvalid, Piece: p.Name, Field: "kind", Err: merry.Errorf("%d is not a piece kind", int(p.Kind))}
 }
 
 // decodePiece reads a piece strictly and checks its name and fields.
