--- a/internal/fflimit/account.go
+++ b/internal/fflimit/account.go
@@ -84,9 +84,16 @@
 	return a.own.permits
 }
 
+// arrive counts a call.
+func (a *account) arrive(now time.Time) {
+	a.usedAt = now
+	a.calls.add(1, now)
+}
+
 // take takes a permit and a token, or reports which is missing.
 func (a *account) take(now time.Time) Shortage {
 	if a.inUse >= a.permits(now) {
+		a.unmet++
 		return ShortageConcurrency
 	}
 	a.static.mint(a.own.rate, a.own.burst, now)
@@ -175,20 +182,6 @@
 	close(a.answered)
 }
 
-// retryAt returns the time from which a refused call may be admitted.
-func (a *account) retryAt(now time.Time) time.Time {
-	at := now.Add(minAskInterval)
-	if a.askAt.After(at) {
-		at = a.askAt
-	}
-	if a.own.rate > 0 {
-		if ready := a.static.readyAt(a.own.rate, now); ready.Before(at) && a.inUse < a.permits(now) {
-			return ready
-		}
-	}
-	return at
-}
-
 // expire drops every grant, for a daemon that was paused.
 func (a *account) expire() {
 	a.tokens = batches{}
--- a/internal/fflimit/borrowed.go
+++ b/internal/fflimit/borrowed.go
@@ -190,7 +190,7 @@
 // fail ends an ask to another cell that brought no answer.
 func (a *allocation) fail(q Ask, now time.Time) {
 	l := a.borrowed.lender(q.Cell)
-	if l == nil || l.seq != q.Seq {
+	if l == nil || !l.asking || l.seq != q.Seq {
 		return
 	}
 	l.asking = false
--- a/internal/fflimit/limiter.go
+++ b/internal/fflimit/limiter.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
@@ -14,14 +13,6 @@
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
-// Bounds of waiting for an allocator.
-const (
-	// answerWait bounds the time that a call waits for a grant.
-	answerWait = 100 * time.Millisecond
-	// failedAskWait is the time between asks while the allocator does not answer.
-	failedAskWait = 500 * time.Millisecond
-)
-
 // Size of the path from admission to the allocators.
 const (
 	// couriers is the number of goroutines that ask allocators. A silent allocator
@@ -59,11 +50,9 @@
 	a := l.accountOf(c.Customer)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	shortage := l.admit(a, c, now)
-	if shortage == ShortageNone {
-		return Permit{account: a}, nil
-	}
-	return Permit{}, refusal(c, shortage, a.retryAt(now))
+	a.place(c, l.currentFleet())
+	a.arrive(now)
+	return l.pass(a, now)
 }
 
 // Acquire is Admit for a call that can wait a moment: where an ask is under way,
@@ -73,29 +62,13 @@
 	if err == nil {
 		return permit, nil
 	}
-	if !l.await(ctx, l.accountOf(c.Customer)) {
+	a := l.accountOf(c.Customer)
+	if !a.await(ctx) {
 		return Permit{}, err
 	}
-	return l.Admit(c, clock())
-}
-
-// await waits for the answer to the ask under way and reports whether there was one.
-func (l *Limiter) await(ctx context.Context, a *account) bool {
 	a.mu.Lock()
-	answered, asking := a.answered, a.asking && !a.exhausted
-	a.mu.Unlock()
-	if !asking {
-		return false
-	}
-	timer := time.NewTimer(answerWait)
-	defer timer.Stop()
-	select {
-	case <-answered:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
+	defer a.mu.Unlock()
+	return l.pass(a, clock())
 }
 
 // Expire drops every grant, for a daemon that has noticed that it was paused.
@@ -108,30 +81,30 @@
 	}
 }
 
-// admit admits a call from what the account holds; where that does not do and
+// pass admits a call from what the account holds; where that does not do and
 // this daemon allocates, from what it grants itself at once.
-func (l *Limiter) admit(a *account, c *ffconfig.Contract, now time.Time) Shortage {
-	a.place(c, l.currentFleet())
-	a.usedAt = now
-	a.calls.add(1, now)
+func (l *Limiter) pass(a *account, now time.Time) (Permit, *ffcall.Error) {
 	shortage := a.take(now)
-	if shortage == ShortageConcurrency {
-		a.unmet++
+	if a.wants(now) && l.ask(a, now) && shortage != ShortageNone {
+		shortage = a.take(now)
 	}
-	if !a.wants(now) {
-		return shortage
+	if shortage != ShortageNone {
+		return Permit{}, a.refusal(shortage, now)
 	}
+	return Permit{account: a}, nil
+}
+
+// ask asks the allocator of the account. Where that is this daemon, it answers
+// at once, and ask reports so.
+func (l *Limiter) ask(a *account, now time.Time) bool {
 	if a.allocator.Name != a.fleet.self {
 		l.enqueue(a)
-		return shortage
+		return false
 	}
 	a.begin()
 	q := a.ask(l.Holder, now)
-	a.accept(q, l.allocator.answer(c, a.fleet, q, now), now)
-	if shortage != ShortageNone {
-		return a.take(now)
-	}
-	return ShortageNone
+	a.accept(q, l.allocator.answer(a.contract, a.fleet, q, now), now)
+	return true
 }
 
 // enqueue hands the account to a courier; when its queue is full, a later call tries again.
@@ -170,9 +143,3 @@
 	a, _ := l.accounts.LoadOrStore(customer, &account{})
 	return a.(*account)
 }
-
-func refusal(c *ffconfig.Contract, shortage Shortage, retryAt time.Time) *ffcall.Error {
-	e := ffcall.Refuse("admit", ffcall.KindLimit, merry.Errorf("customer %s is at the %s of its contract", c.Customer, shortage))
-	e.RetryAt = retryAt
-	return e
-}
--- a/internal/fflimit/term.go
+++ b/internal/fflimit/term.go
@@ -31,6 +31,8 @@
 	minAskInterval = 100 * time.Millisecond
 	maxAskInterval = 2 * time.Second
 	tradeInterval  = 250 * time.Millisecond
+	// failedAskWait is the time between asks while the allocator does not answer.
+	failedAskWait = 500 * time.Millisecond
 	// reportersPerSecond is the number of asks a second that an allocator takes for one customer.
 	reportersPerSecond = 50
 )
