--- a/internal/ffplatform/vmlist.go
+++ b/internal/ffplatform/vmlist.go
@@ -75,5 +75,11 @@
 	if _, err := netip.ParseAddrPort(l.ForwardAddress); err != nil {
 		return merry.Prependf(err, "VM %q forwardAddress", l.Name)
 	}
+	if l.OperatorAddress == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(l.OperatorAddress); err != nil {
+		return merry.Prependf(err, "VM %q operatorAddress", l.Name)
+	}
 	return nil
 }
