--- a/internal/ffdistribution/announce.go
+++ b/internal/ffdistribution/announce.go
@@ -125,5 +125,8 @@
 	if err != nil {
 		return nil, &Error{Op: "exchange", Kind: KindUnreachable, Err: err}
 	}
+	if !out.GetFrom().Intact() {
+		return nil, &Error{Op: "exchange", Kind: KindCorrupt, Err: errDamaged}
+	}
 	return out, nil
 }
--- a/internal/ffdistribution/convert.go
+++ b/internal/ffdistribution/convert.go
@@ -76,25 +76,30 @@
 func evidenceOut(all []ffmember.Evidence) []*ffprotocol.Evidence {
 	out := make([]*ffprotocol.Evidence, len(all))
 	for i, e := range all {
-		out[i] = &ffprotocol.Evidence{
+		evidence := &ffprotocol.Evidence{
 			Vm:                vmOut(e.VM),
 			Incarnation:       uint64(e.Incarnation),
 			State:             int32(e.State),
 			ExpiresUnixMillis: e.Expires.UnixMilli(),
 		}
+		out[i] = evidence.Seal()
 	}
 	return out
 }
 
+// evidenceIn returns the evidence that arrived intact.
 func evidenceIn(all []*ffprotocol.Evidence) []ffmember.Evidence {
-	in := make([]ffmember.Evidence, len(all))
-	for i, e := range all {
-		in[i] = ffmember.Evidence{
+	in := make([]ffmember.Evidence, 0, len(all))
+	for _, e := range all {
+		if !e.Intact() {
+			continue
+		}
+		in = append(in, ffmember.Evidence{
 			VM:          vmIn(e.GetVm()),
 			Incarnation: ffmember.Incarnation(e.GetIncarnation()),
 			State:       ffmember.State(e.GetState()),
 			Expires:     time.UnixMilli(e.GetExpiresUnixMillis()),
-		}
+		})
 	}
 	return in
 }
--- a/internal/ffdistribution/error.go
+++ b/internal/ffdistribution/error.go
@@ -44,4 +44,6 @@
 	return KindUnknown
 }
 
+var errDamaged = errors.New("the message was damaged on the way")
+
 var errListDigest = errors.New("the list does not have the digest that the peer gave")
--- a/internal/ffdistribution/handler.go
+++ b/internal/ffdistribution/handler.go
@@ -72,6 +72,7 @@
 	list := n.Members.View().List()
 	out := &ffprotocol.ListResponse{From: n.summary()}
 	out.From.ListRevision, out.From.ListDigest = list.Revision(), list.Digest()
+	out.From.Seal()
 	size := 0
 	for _, b := range list.Differing(in.GetBucketDigests()) {
 		for _, vm := range list.InBuckets([]int{b}) {
--- a/internal/ffdistribution/listpull.go
+++ b/internal/ffdistribution/listpull.go
@@ -29,6 +29,9 @@
 			return &Error{Op: "pull list", Kind: KindUnreachable, Err: err}
 		}
 		from := out.GetFrom()
+		if !from.Intact() {
+			return &Error{Op: "pull list", Kind: KindCorrupt, Err: errDamaged}
+		}
 		if !n.Members.View().List().OlderThan(from.GetListRevision(), from.GetListDigest()) {
 			return nil
 		}
--- a/internal/ffdistribution/node.go
+++ b/internal/ffdistribution/node.go
@@ -131,11 +131,15 @@
 	if s.Ready {
 		s.Version = versionOut(n.Store.Version())
 	}
-	return s
+	return s.Seal()
 }
 
 // learn takes in what another daemon has; where this one is behind it pulls.
 func (n *Node) learn(from *ffprotocol.Summary, evidence []*ffprotocol.Evidence) {
+	if !from.Intact() {
+		n.counts.corrupt.Add(1)
+		return
+	}
 	if from.GetVm() == "" || from.GetVm() == n.Self.Name {
 		return
 	}
--- a/internal/ffdistribution/pull.go
+++ b/internal/ffdistribution/pull.go
@@ -112,10 +112,14 @@
 	defer cancel()
 	in := &ffprotocol.ManifestRequest{From: n.summary(), Whole: whole}
 	in.From.Version = versionOut(n.Store.Version())
+	in.From.Seal()
 	out, err := n.Peers.Manifest(ctx, address, in)
 	if err != nil {
 		return nil, &Error{Op: "pull manifest", Kind: KindUnreachable, Err: err}
 	}
+	if !out.GetFrom().Intact() {
+		return nil, &Error{Op: "pull manifest", Kind: KindCorrupt, Err: errDamaged}
+	}
 	return out, nil
 }
 
--- a/internal/ffdistribution/reader.go
+++ b/internal/ffdistribution/reader.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// watchTime is how long one watch of the platform waits.
-	watchTime = 10 * time.Second
+	// watchTime is how long one watch of the platform waits; short, so that a
+	// connection that went silent for good is soon given up.
+	watchTime = 2 * time.Second
 	// roleInterval is the time after which a daemon looks again whether it reads the platform.
 	roleInterval = 500 * time.Millisecond
 	// corruptAttempts is the number of times that a damaged piece is read from the platform.
--- a/internal/ffdistribution/store.go
+++ b/internal/ffdistribution/store.go
@@ -159,7 +159,7 @@
 	}
 	s.refused = appendBounded(s.refused, r, maxRefused)
 	s.counts.refused.Add(1)
-	s.record(ffaudit.KindVersionRefused, "", r.version, reason.Error())
+	s.record(ffaudit.KindVersionRefused, r.version, reason.Error())
 }
 
 func (s *Store) swap(snapshot *ffconfig.Snapshot, manifest []byte, pieces map[ffconfig.Digest][]byte) {
@@ -175,31 +175,12 @@
 	}
 	s.inForce.Store(next)
 	s.counts.applied.Add(1)
-	s.record(ffaudit.KindVersionApplied, "", snapshot.Version(), "in force")
-	s.auditContracts(next.history)
+	s.record(ffaudit.KindVersionApplied, snapshot.Version(), "in force")
 	if s.OnApply != nil {
 		s.OnApply(oldSnapshot, snapshot)
 	}
 }
 
-// auditContracts records which contracts the last step changed.
-func (s *Store) auditContracts(h history) {
-	if len(h) == 0 {
-		return
-	}
-	last := h[len(h)-1]
-	for _, p := range last.put {
-		if p.Kind == ffconfig.PieceContract {
-			s.record(ffaudit.KindContractChanged, p.Name, s.Version(), "contract added or amended")
-		}
-	}
-	for _, p := range last.removed {
-		if p.Kind == ffconfig.PieceContract {
-			s.record(ffaudit.KindContractChanged, p.Name, s.Version(), "contract removed")
-		}
-	}
-}
-
 // Observe audits that a version was seen whose number the version in force carries with other content.
 func (s *Store) Observe(v ffconfig.Version) {
 	current := s.Version()
@@ -213,7 +194,7 @@
 	}
 	s.conflicts = appendBounded(s.conflicts, v, maxRefused)
 	s.counts.conflicts.Add(1)
-	s.record(ffaudit.KindVersionConflict, "", v, "same number as "+current.String()+" with other content")
+	s.record(ffaudit.KindVersionConflict, v, "same number as "+current.String()+" with other content")
 }
 
 // manifestSince answers with the manifest in force, as a difference from base
@@ -221,6 +202,7 @@
 func (s *Store) manifestSince(base ffconfig.Version, whole bool, from *ffprotocol.Summary) *ffprotocol.ManifestResponse {
 	f := s.inForce.Load()
 	from.Version = versionOut(f.snapshot.Version())
+	from.Seal()
 	out := &ffprotocol.ManifestResponse{From: from}
 	change, ok := f.history.since(base)
 	if whole || !ok {
@@ -243,11 +225,11 @@
 	return content, ok
 }
 
-func (s *Store) record(kind ffaudit.Kind, subject string, v ffconfig.Version, detail string) {
+func (s *Store) record(kind ffaudit.Kind, v ffconfig.Version, detail string) {
 	if s.Audit == nil {
 		return
 	}
-	s.Audit.Record(ffaudit.Event{Kind: kind, Subject: subject, Version: v.String(), Detail: detail})
+	s.Audit.Record(ffaudit.Event{Kind: kind, Version: v.String(), Detail: detail})
 }
 
 // appendBounded appends v and drops the oldest above the bound.
--- a/internal/ffpeer/client.go
+++ b/internal/ffpeer/client.go
@@ -10,6 +10,9 @@
 const (
 	// exchangeTimeout bounds an exchange of summaries.
 	exchangeTimeout = time.Second
+	// firstAttemptPart is the part of the timeout after which a call is repeated
+	// on a new connection, because the open ones may have gone silent for good.
+	firstAttemptPart = 3
 	// transferTimeout bounds the transfer of a manifest, of pieces or of buckets.
 	transferTimeout = 3 * time.Second
 )
@@ -41,19 +44,32 @@
 
 type method[In, Out any] func(ffprotocol.DRPCConfigurationServiceClient, context.Context, In) (Out, error)
 
-// call runs one method with a deadline.
+// call runs one method with a deadline. All methods only read, so a call that
+// gets no answer on an open connection is repeated on a new one.
 func call[In, Out any](ctx context.Context, c *Client, op, address string, timeout time.Duration, in In, do method[In, Out]) (Out, error) {
 	var none Out
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := c.Pool.Conn(ctx, address)
-	if err != nil {
-		return none, err
+	deadline, _ := ctx.Deadline()
+	first := time.Now().Add(time.Until(deadline) / firstAttemptPart)
+	out, err := attempt(ctx, c, address, first, in, do)
+	if err != nil && c.Pool.Drop(address) && ctx.Err() == nil {
+		out, err = attempt(ctx, c, address, deadline, in, do)
 	}
-	defer func() { _ = conn.Close() }()
-	out, err := do(ffprotocol.NewDRPCConfigurationServiceClient(conn), ctx, in)
 	if err != nil {
 		return none, &Error{Op: op, Kind: KindCall, Address: address, Err: err}
 	}
 	return out, nil
 }
+
+func attempt[In, Out any](ctx context.Context, c *Client, address string, deadline time.Time, in In, do method[In, Out]) (Out, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	conn, err := c.Pool.Conn(ctx, address)
+	if err != nil {
+		var none Out
+		return none, err
+	}
+	defer func() { _ = conn.Close() }()
+	return do(ffprotocol.NewDRPCConfigurationServiceClient(conn), ctx, in)
+}
--- a/internal/ffpeer/pool.go
+++ b/internal/ffpeer/pool.go
@@ -105,6 +105,19 @@
 	return drpcconn.NewWithOptions(newConn(c, p.Meter, p.slots), drpcconn.Options{Manager: managerOptions(p.MaxMessageBytes)}), nil
 }
 
+// Drop closes the idle connections to the address, and reports whether it makes
+// sense to dial anew: not while the address is left alone after a failure.
+func (p *Pool) Drop(address string) bool {
+	p.once.Do(p.init)
+	for {
+		c, ok := p.idle.Take(address)
+		if !ok {
+			return p.retry.allowed(address, time.Now())
+		}
+		_ = c.Close()
+	}
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() error {
 	p.once.Do(p.init)
--- /dev/null
+++ b/internal/ffprotocol/checksum.go
@@ -0,0 +1,45 @@
+package ffprotocol
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+)
+
+// Seal sets the checksum of the summary and returns it.
+func (x *Summary) Seal() *Summary {
+	x.Checksum = x.sum()
+	return x
+}
+
+// Intact reports whether the summary is as its sender sealed it.
+func (x *Summary) Intact() bool { return x != nil && x.Checksum == x.sum() }
+
+func (x *Summary) sum() uint64 {
+	rest := proto.CloneOf(x)
+	rest.Checksum = 0
+	return checksum(rest)
+}
+
+// Seal sets the checksum of the evidence and returns it.
+func (x *Evidence) Seal() *Evidence {
+	x.Checksum = x.sum()
+	return x
+}
+
+// Intact reports whether the evidence is as its sender sealed it.
+func (x *Evidence) Intact() bool { return x != nil && x.Checksum == x.sum() }
+
+func (x *Evidence) sum() uint64 {
+	rest := proto.CloneOf(x)
+	rest.Checksum = 0
+	return checksum(rest)
+}
+
+// checksum returns the hash of the deterministic encoding; zero when there is none.
+func checksum(m proto.Message) uint64 {
+	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(content)
+}
