--- a/internal/ffmember/view_test.go
+++ b/internal/ffmember/view_test.go
@@ -238,3 +238,11 @@
 		v.InDataCentre(leaver.DataCentre)
 	}
 }
+
+func BenchmarkListOfLargestFleet(b *testing.B) {
+	vms := fleetOf(5200).VMs()
+	b.ReportAllocs()
+	for range b.N {
+		(&ffmember.View{}).WithList(ffmember.NewList(1, vms)).InDataCentre("dc-1")
+	}
+}
--- a/internal/ffpeer/peer_test.go
+++ b/internal/ffpeer/peer_test.go
@@ -164,3 +164,29 @@
 	c.once.Do(func() { c.dialer.open.Add(-1) })
 	return c.Conn.Close()
 }
+
+func BenchmarkExchange(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &ffpeer.Server{}
+	if err := server.Register(&echo{}, ffprotocol.DRPCConfigurationServiceDescription{}); err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	var meter ffpeer.Meter
+	client := ffpeer.Client{Pool: &ffpeer.Pool{Meter: &meter}}
+	for range b.N {
+		if _, err := client.Exchange(ctx, listener.Addr().String(), summary()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(meter.Usage().BytesOut)/float64(b.N), "bytesOut/op")
+	b.ReportMetric(float64(meter.Usage().BytesIn)/float64(b.N), "bytesIn/op")
+	cancel()
+	<-done
+	_ = client.Pool.Close()
+}
