Serve calls only after the greatest version is learnt; learn versions from calls

A daemon that has just started, or that noticed a pause, refuses calls of callers and of other daemons as not run until it has learnt. Every forwarded call carries the sender's version and name, and every answer the gate's, so that the side that is behind pulls at once. A pause drops all grants.

--- a/internal/ffdaemon/provide.go
+++ b/internal/ffdaemon/provide.go
@@ -128,16 +128,19 @@
 	return &ffpeer.Pool{Meter: meter, DialContext: d.DialContext}
 }
 
-func provideRemote(d *net.Dialer) *ffforward.Client { return &ffforward.Client{Dialer: d} }
+func provideRemote(s Settings, d *net.Dialer, node *ffdistribution.Node) *ffforward.Client {
+	return &ffforward.Client{Dialer: d, Self: s.Name, Versions: node}
+}
 
 func provideNode(
 	s Settings, log zerolog.Logger, self ffmember.VM, incarnation ffmember.Incarnation, trail *ffaudit.Trail,
 	store *ffdistribution.Store, members *ffdistribution.Members, budget *ffdistribution.Budget,
-	peers *ffpeer.Client, platform *ffplatform.Client, registry *prometheus.Registry,
+	peers *ffpeer.Client, platform *ffplatform.Client, limiter *fflimit.Limiter, registry *prometheus.Registry,
 ) *ffdistribution.Node {
 	node := &ffdistribution.Node{
 		Self: self, Incarnation: incarnation, Seeds: s.Peers, Store: store, Members: members,
 		Budget: budget, Peers: peers, Platform: platform, Audit: trail, Log: log,
+		OnPause: limiter.Expire,
 	}
 	registry.MustRegister(node)
 	return node
@@ -170,8 +173,10 @@
 
 func provideRetry() *ffretry.Policy { return &ffretry.Policy{Draw: rand.Float64} }
 
-func provideForwardHandler(s Settings, incarnation ffmember.Incarnation, gate *ffgate.Gate, store *ffdistribution.Store) *ffforward.Server {
-	return &ffforward.Server{VM: s.Name, Incarnation: uint64(incarnation), Gate: gate, Snapshots: store}
+func provideForwardHandler(s Settings, incarnation ffmember.Incarnation, gate *ffgate.Gate, store *ffdistribution.Store, node *ffdistribution.Node) *ffforward.Server {
+	return &ffforward.Server{
+		VM: s.Name, Incarnation: uint64(incarnation), Gate: gate, Snapshots: store, Readiness: node, Versions: node,
+	}
 }
 
 func providePeerServer(meter *ffpeer.Meter, node *ffdistribution.Node, limits *fflimit.Handler, log zerolog.Logger) (peerServer, error) {
@@ -192,11 +197,11 @@
 }
 
 func provideEntry(
-	s Settings, off switches, store *ffdistribution.Store, members *ffdistribution.Members, limiter *fflimit.Limiter,
+	s Settings, off switches, store *ffdistribution.Store, node *ffdistribution.Node, members *ffdistribution.Members, limiter *fflimit.Limiter,
 	chooser *ffbalance.Chooser, retry *ffretry.Policy, gate *ffgate.Gate, remote *ffforward.Client,
 ) *ffentry.Entry {
 	return &ffentry.Entry{
-		Self: s.Name, Snapshots: store, Members: members, Limiter: limiter,
+		Self: s.Name, Snapshots: store, Readiness: node, Members: members, Limiter: limiter,
 		Chooser: chooser, Retry: retry, Gate: gate, Remote: remote, NoHedge: off.noHedge,
 	}
 }
--- a/internal/ffdaemon/wire_gen.go
+++ b/internal/ffdaemon/wire_gen.go
@@ -32,9 +32,9 @@
 		Pool: pool,
 	}
 	ffplatformClient := providePlatform(s, budget, dialer)
-	node := provideNode(s, log, vm, incarnation, trail, store, members, budget, client, ffplatformClient, registry)
-	ffdaemonState := provideState(vm, incarnation, node, store, members)
 	limiter := provideLimiter(s, incarnation)
+	node := provideNode(s, log, vm, incarnation, trail, store, members, budget, client, ffplatformClient, limiter, registry)
+	ffdaemonState := provideState(vm, incarnation, node, store, members)
 	exchange := provideExchange(limiter, pool)
 	ffdaemonSwitches := provideSwitches(s)
 	fftargetClient := provideTarget(s)
@@ -44,8 +44,8 @@
 	}
 	chooser := provideChooser(s, ffdaemonSwitches)
 	policy := provideRetry()
-	ffforwardClient := provideRemote(dialer)
-	entry := provideEntry(s, ffdaemonSwitches, store, members, limiter, chooser, policy, gate, ffforwardClient)
+	ffforwardClient := provideRemote(s, dialer, node)
+	entry := provideEntry(s, ffdaemonSwitches, store, node, members, limiter, chooser, policy, gate, ffforwardClient)
 	metrics := ffcaller.NewMetrics(registry)
 	handler := ffcaller.NewHandler(entry, metrics)
 	ffoperatorHandler := provideOperator(s, ffdaemonState, trail, registry)
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := provideForwardHandler(s, incarnation, gate, store)
+	server := provideForwardHandler(s, incarnation, gate, store, node)
 	ffdaemonForwardServer, err := provideForwardServer(server, log)
 	if err != nil {
 		return nil, err
--- a/internal/ffdistribution/node.go
+++ b/internal/ffdistribution/node.go
@@ -60,6 +60,8 @@
 	// Audit receives pauses; nothing when nil.
 	Audit Auditor
 	Log   zerolog.Logger
+	// OnPause is called when the daemon notices that it was paused; nothing when nil.
+	OnPause func()
 	// IntN returns a random number below n; that of math/rand/v2 when nil.
 	IntN func(n int) int
 
--- a/internal/ffdistribution/pause.go
+++ b/internal/ffdistribution/pause.go
@@ -57,6 +57,9 @@
 	n.learnt.Store(false)
 	n.counts.pauses.Add(1)
 	n.Members.Forget()
+	if n.OnPause != nil {
+		n.OnPause()
+	}
 	offer(n.relearn, struct{}{})
 	if n.Audit != nil {
 		last := n.pause.last.Load()
--- a/internal/ffentry/admission.go
+++ b/internal/ffentry/admission.go
@@ -26,8 +26,8 @@
 // the configuration that it stands in.
 func (e *Entry) Authenticate(key string) (*ffconfig.Snapshot, *ffconfig.Contract, error) {
 	snapshot := e.Snapshots.Snapshot()
-	if snapshot == nil {
-		return nil, nil, ffcall.Refuse("authenticate", ffcall.KindNotReady, merry.New("no version is in force"))
+	if snapshot == nil || !e.Readiness.Ready() {
+		return nil, nil, ffcall.Refuse("authenticate", ffcall.KindNotReady, merry.New("the daemon has not learnt the greatest version yet"))
 	}
 	contract, ok := snapshot.ContractByKey(key)
 	if key == "" || !ok {
--- a/internal/ffentry/entry.go
+++ b/internal/ffentry/entry.go
@@ -19,6 +19,11 @@
 	Snapshot() *ffconfig.Snapshot
 }
 
+// Readiness tells whether the daemon has learnt what it needs to serve calls.
+type Readiness interface {
+	Ready() bool
+}
+
 // Members gives what the daemon knows of all VMs.
 type Members interface {
 	View() *ffmember.View
@@ -53,6 +58,7 @@
 	// Self names the VM of this daemon.
 	Self      string
 	Snapshots Snapshots
+	Readiness Readiness
 	Members   Members
 	Limiter   Limiter
 	Chooser   Chooser
--- a/internal/ffforward/client.go
+++ b/internal/ffforward/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -33,6 +34,10 @@
 
 	// Dialer makes the connections; one without a source address when nil.
 	Dialer *net.Dialer
+	// Self names the VM of this daemon.
+	Self string
+	// Versions is told the version that each answer shows; nothing when nil.
+	Versions Versions
 
 	pool pool
 }
@@ -53,10 +58,27 @@
 	if err != nil {
 		return nil, ffcall.Refuse("dial", ffcall.KindUnreachable, err)
 	}
-	a := &attempt{pool: &c.pool, vm: vm, call: call, conn: conn, result: make(chan result, 1)}
+	a := &attempt{pool: &c.pool, from: c.Self, vm: vm, call: call, conn: conn, result: make(chan result, 1)}
 	incarnation := conn.incarnation
 	go a.run(ctx)
-	return c.await(ctx, a, incarnation)
+	reply, err := c.await(ctx, a, incarnation)
+	c.hear(reply, err)
+	return reply, err
+}
+
+// hear passes on the version that an answer or a refusal shows.
+func (c *Client) hear(reply *ffcall.Reply, err error) {
+	var load ffcall.Load
+	var e *ffcall.Error
+	switch {
+	case reply != nil:
+		load = reply.Load
+	case errors.As(err, &e):
+		load = e.Load
+	}
+	if c.Versions != nil && load.VM != "" {
+		c.Versions.Heard(load.VM, load.Version)
+	}
 }
 
 // await waits for the answer and looks the attempt up whenever it is silent or broken.
--- a/internal/ffforward/convert.go
+++ b/internal/ffforward/convert.go
@@ -34,7 +34,7 @@
 	return h
 }
 
-func requestOf(c *ffcall.Call, incarnation uint64, now time.Time) *ffprotocol.ForwardRequest {
+func requestOf(c *ffcall.Call, from string, incarnation uint64, now time.Time) *ffprotocol.ForwardRequest {
 	return &ffprotocol.ForwardRequest{
 		CallId:          c.ID,
 		Customer:        c.Customer,
@@ -49,6 +49,7 @@
 		VersionDigest:   string(c.Version.Digest),
 		BodyChecksum:    xxhash.Sum64(c.Body),
 		Incarnation:     incarnation,
+		From:            from,
 	}
 }
 
--- a/internal/ffforward/server.go
+++ b/internal/ffforward/server.go
@@ -28,6 +28,16 @@
 	Snapshot() *ffconfig.Snapshot
 }
 
+// Versions is told which versions other daemons have in force.
+type Versions interface {
+	Heard(vm string, v ffconfig.Version)
+}
+
+// Readiness tells whether the daemon may serve calls.
+type Readiness interface {
+	Ready() bool
+}
+
 // settleWait bounds the wait for the end of an attempt that is looked up.
 const settleWait = 200 * time.Millisecond
 
@@ -37,31 +47,42 @@
 	Incarnation uint64
 	Gate        Gate
 	Snapshots   Snapshots
+	Readiness   Readiness
+	Versions    Versions
 }
 
 var _ ffprotocol.DRPCCallServiceServer = (*Server)(nil)
 
 // Forward runs one attempt of a call.
 func (s *Server) Forward(ctx context.Context, r *ffprotocol.ForwardRequest) (*ffprotocol.ForwardResponse, error) {
-	reply, err := s.forward(ctx, r)
+	c, err := s.accept(r)
+	if err != nil {
+		if r.GetToken() != "" {
+			err = ffcall.Unproved(err)
+		}
+		return s.refusal(r.GetCallId(), err), nil
+	}
+	reply, err := s.Gate.Do(ctx, c)
 	if err != nil {
 		return s.refusal(r.GetCallId(), err), nil
 	}
 	return answerOf(r.GetCallId(), reply), nil
 }
 
-func (s *Server) forward(ctx context.Context, r *ffprotocol.ForwardRequest) (*ffcall.Reply, error) {
+// accept checks an attempt before the gate sees it. Its refusals tell of this
+// attempt alone.
+func (s *Server) accept(r *ffprotocol.ForwardRequest) (*ffcall.Call, error) {
 	if r.GetIncarnation() != s.Incarnation {
 		return nil, ffcall.Refuse("forward", ffcall.KindUnreachable, merry.New("the call is meant for an earlier incarnation of this daemon"))
 	}
 	if xxhash.Sum64(r.GetBody()) != r.GetBodyChecksum() {
 		return nil, ffcall.Refuse("forward", ffcall.KindTruncated, merry.New("the request's body does not match its checksum"))
 	}
-	c, err := s.call(r, time.Now())
-	if err != nil {
-		return nil, err
+	s.Versions.Heard(r.GetFrom(), ffconfig.Version{Number: r.GetVersionNumber(), Digest: ffconfig.Digest(r.GetVersionDigest())})
+	if !s.Readiness.Ready() {
+		return nil, ffcall.Refuse("forward", ffcall.KindNotReady, merry.New("the daemon has not learnt the greatest version yet"))
 	}
-	return s.Gate.Do(ctx, c)
+	return s.call(r, time.Now())
 }
 
 func (s *Server) call(r *ffprotocol.ForwardRequest, now time.Time) (*ffcall.Call, error) {
