--- a/internal/ffdaemon/daemon.go
+++ b/internal/ffdaemon/daemon.go
@@ -66,6 +66,7 @@
 	if err != nil {
 		return &Error{Op: "read settings", Kind: KindSettings, Err: err}
 	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(logs).Level(level).With().Timestamp().Str("vm", s.Name).Logger()
 	d, err := assemble(s, log)
 	if err != nil {
--- a/internal/ffdaemon/provide.go
+++ b/internal/ffdaemon/provide.go
@@ -57,7 +57,7 @@
 	provideMembers,
 	provideBudget,
 	providePlatform,
-	wire.Struct(new(ffpeer.Meter)),
+	provideMeter,
 	providePool,
 	wire.Struct(new(ffpeer.Client), "*"),
 	provideNode,
@@ -124,6 +124,12 @@
 	return ffplatform.NewClient(s.Platform, budget, d.DialContext)
 }
 
+func provideMeter(registry *prometheus.Registry) *ffpeer.Meter {
+	meter := &ffpeer.Meter{}
+	registry.MustRegister(meter)
+	return meter
+}
+
 func providePool(meter *ffpeer.Meter, d *net.Dialer) *ffpeer.Pool {
 	return &ffpeer.Pool{Meter: meter, DialContext: d.DialContext}
 }
@@ -150,15 +156,17 @@
 	return fftarget.NewClient(fftarget.Settings{Address: s.Target})
 }
 
-func provideGate(s Settings, off switches, incarnation ffmember.Incarnation, target *fftarget.Client, store *ffdistribution.Store) (*ffgate.Gate, error) {
+func provideGate(s Settings, off switches, incarnation ffmember.Incarnation, target *fftarget.Client, store *ffdistribution.Store, registry *prometheus.Registry) (*ffgate.Gate, error) {
 	issuer, err := fftoken.NewIssuer(s.Name, uint64(incarnation), time.Now(), crand.Reader)
 	if err != nil {
 		return nil, err
 	}
-	return &ffgate.Gate{
+	gate := &ffgate.Gate{
 		VM: s.Name, Incarnation: uint64(incarnation), Service: s.Service,
 		Target: target, Snapshots: current{store: store}, Issuer: issuer, Off: off.gate,
-	}, nil
+	}
+	registry.MustRegister(gate)
+	return gate, nil
 }
 
 // current gives the gate the version in force.
--- a/internal/ffdaemon/wire_gen.go
+++ b/internal/ffdaemon/wire_gen.go
@@ -22,7 +22,7 @@
 	store := provideStore(trail, registry)
 	members := provideMembers(trail)
 	budget := provideBudget(s)
-	meter := &ffpeer.Meter{}
+	meter := provideMeter(registry)
 	dialer, err := provideDialer(s)
 	if err != nil {
 		return nil, err
@@ -38,7 +38,7 @@
 	exchange := provideExchange(limiter, pool)
 	ffdaemonSwitches := provideSwitches(s)
 	fftargetClient := provideTarget(s)
-	gate, err := provideGate(s, ffdaemonSwitches, incarnation, fftargetClient, store)
+	gate, err := provideGate(s, ffdaemonSwitches, incarnation, fftargetClient, store, registry)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/ffdeployment/applied.go
@@ -0,0 +1,50 @@
+package ffdeployment
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"fireflyfall.dev/fireflyfall/internal/ffaudit"
+	"fireflyfall.dev/fireflyfall/internal/ffprocess"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+// auditLine is the part of a daemon's log line that tells of a change.
+type auditLine struct {
+	Audit   string    `json:"audit"`
+	Version string    `json:"version"`
+	Time    time.Time `json:"time"`
+}
+
+// AwaitApplied waits until the log of every given daemon tells that it put the
+// version in force, and returns when each did.
+func AwaitApplied(ctx context.Context, nodes []*Node, v ffconfig.Version) ([]time.Time, error) {
+	applied := make([]time.Time, len(nodes))
+	var g errgroup.Group
+	for i, n := range nodes {
+		g.Go(func() error {
+			at, err := n.awaitApplied(ctx, v)
+			applied[i] = at
+			return err
+		})
+	}
+	return applied, g.Wait()
+}
+
+func (n *Node) awaitApplied(ctx context.Context, v ffconfig.Version) (time.Time, error) {
+	var at time.Time
+	_, err := n.Daemon.AwaitLine(ctx, func(l ffprocess.Line) bool {
+		var a auditLine
+		if l.Decode(&a) != nil || a.Audit != ffaudit.KindVersionApplied.String() || a.Version != v.String() {
+			return false
+		}
+		at = a.Time
+		return true
+	})
+	if err != nil {
+		return at, &Error{Op: "await version", Kind: KindDeadline, Err: err}
+	}
+	return at, nil
+}
--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -200,6 +200,9 @@
 	return d.platform
 }
 
+// PlatformAddress returns the address of the platform itself.
+func (d *Deployment) PlatformAddress() string { return d.platform }
+
 // PlatformRelay returns the relay between a data centre and the platform.
 func (d *Deployment) PlatformRelay(dataCentre string) *ffrelay.Relay {
 	return d.platformRelays[dataCentre]
--- a/internal/ffexperiment/experiment.go
+++ b/internal/ffexperiment/experiment.go
@@ -47,10 +47,13 @@
 
 // registry holds all experiments by name.
 var registry = map[string]Experiment{
-	"crest":         crest{},
-	"headOfLine":    headOfLine{},
-	"slowedTargets": slowedTargets{},
-	"addedLatency":  addedLatency{},
+	"crest":          crest{},
+	"headOfLine":     headOfLine{},
+	"slowedTargets":  slowedTargets{},
+	"addedLatency":   addedLatency{},
+	"convergence":    convergence{},
+	"reconnectStorm": reconnectStorm{},
+	"controlCost":    controlCost{},
 }
 
 // Names returns the names of all experiments, sorted.
