--- a/internal/ffgate/ledger.go
+++ b/internal/ffgate/ledger.go
@@ -12,30 +12,34 @@
 	bytes   int
 	// evictable holds ended records that may go at any time, the oldest first.
 	evictable list.List
-	// bodies holds ended records that must stay, but whose replies may go.
+	// bodies holds ended records with a reply, which may go by itself.
 	bodies list.List
 	// forgotUntil is the latest expiry of a record that went before its time.
 	forgotUntil time.Time
 }
 
+// keep takes up a record that has ended.
 func (l *ledger) keep(r *record) {
-	switch {
-	case r.barred:
-		return
-	case !r.durable || r.notRun():
-		r.ownList = &l.evictable
-	case r.reply != nil:
-		r.ownList = &l.bodies
-	default:
-		return
+	if !r.barred && (!r.durable || r.notRun()) {
+		r.evictable = l.evictable.PushBack(r)
+	}
+	if r.reply != nil {
+		r.body = l.bodies.PushBack(r)
+	}
+}
+
+func (l *ledger) dropBody(r *record) {
+	if r.body != nil {
+		l.bodies.Remove(r.body)
+		r.body = nil
 	}
-	r.own = r.ownList.PushBack(r)
 }
 
 func (l *ledger) drop(r *record) {
-	if r.own != nil {
-		r.ownList.Remove(r.own)
-		r.own = nil
+	l.dropBody(r)
+	if r.evictable != nil {
+		l.evictable.Remove(r.evictable)
+		r.evictable = nil
 	}
 }
 
--- a/internal/ffgate/limiter.go
+++ b/internal/ffgate/limiter.go
@@ -18,7 +18,7 @@
 
 // slots returns the number of slots to use out of all.
 func (l *limiter) slots(all int) int {
-	return max(min(all, all-int(l.lowered)), min(all, minimumTry))
+	return max(int(float64(all)-l.lowered), min(all, minimumTry))
 }
 
 // shed notes that the target refused a call. Refusals of one moment count once.
--- a/internal/ffgate/machine_test.go
+++ b/internal/ffgate/machine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,9 +50,11 @@
 // of executions is the judge.
 type machine struct {
 	target *fakeTarget
-	gate   *ffgate.Gate
-	clock  clock
-	lives  uint64
+	// targets are those of all lives.
+	targets []*fakeTarget
+	gate    *ffgate.Gate
+	clock   clock
+	lives   uint64
 	// records bounds the outcomes that the gate remembers.
 	records int
 	nextID  int
@@ -59,23 +62,51 @@
 	tokens  []string
 }
 
-// clock is virtual time that may jump ahead between two looks, as it does for
-// a process that was paused.
+// clock is virtual time in which something may happen between two looks, as it
+// does for a process that was paused.
 type clock struct {
+	mu     sync.Mutex
 	offset time.Duration
-	jumpIn int
-	jump   time.Duration
+	looks  int
+	event  func()
 }
 
-func (c *clock) peek() time.Time { return time.Now().Add(c.offset) }
+func (c *clock) peek() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.offset)
+}
 
 func (c *clock) now() time.Time {
-	if c.jumpIn--; c.jumpIn == 0 {
-		c.offset += c.jump
+	c.mu.Lock()
+	c.looks--
+	happens := c.looks == 0
+	c.mu.Unlock()
+	if happens {
+		c.event()
 	}
 	return c.peek()
 }
 
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offset += d
+}
+
+// before makes the event happen before the n-th look from now.
+func (c *clock) before(n int, event func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.looks, c.event = n, event
+}
+
+func (c *clock) calm() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.looks <= 0
+}
+
 func (m *machine) restart() {
 	for _, s := range m.sent {
 		s.cancel()
@@ -87,6 +118,7 @@
 		panic(err)
 	}
 	m.target = &fakeTarget{now: m.clock.peek, ran: m.target.ran}
+	m.targets = append(m.targets, m.target)
 	m.gate = &ffgate.Gate{
 		VM: "vm", Incarnation: m.lives, Service: "ledger", Target: m.target, Issuer: issuer, Now: m.clock.now,
 		Snapshots: &snapshot{newSnapshot(1, allRoutes...)}, MaxRecords: m.records, MaxBytes: 200,
@@ -172,6 +204,21 @@
 	}
 }
 
+// finish cancels every attempt and lets every target end its calls.
+func (m *machine) finish() {
+	m.clock.before(0, nil)
+	for _, s := range m.sent {
+		s.cancel()
+	}
+	synctest.Wait()
+	for _, target := range m.targets {
+		for _, x := range target.snapshot() {
+			x.end <- nil
+		}
+	}
+	synctest.Wait()
+}
+
 func (m *machine) advance(d time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
@@ -194,7 +241,7 @@
 // inTransport reports whether a copy of the attempt's message may still come to
 // this life of the gate and be read at once.
 func (m *machine) inTransport(s *sent) bool {
-	return s.life == m.lives && m.clock.jumpIn <= 0 && m.clock.peek().Before(s.deadline.Add(transportMemory))
+	return s.life == m.lives && m.clock.calm() && m.clock.peek().Before(s.deadline.Add(transportMemory))
 }
 
 func (m *machine) actions() map[string]func(*rapid.T) {
@@ -247,11 +294,11 @@
 			m.advance(time.Duration(rapid.IntRange(1, 400).Draw(t, "millis")) * time.Millisecond)
 		},
 		"later": func(t *rapid.T) {
-			m.clock.offset += time.Duration(rapid.IntRange(1, 400).Draw(t, "seconds")) * time.Second
+			m.clock.advance(time.Duration(rapid.IntRange(1, 400).Draw(t, "seconds")) * time.Second)
 		},
 		"pause": func(t *rapid.T) {
-			m.clock.jumpIn = rapid.IntRange(1, 4).Draw(t, "after")
-			m.clock.jump = time.Duration(rapid.IntRange(1, 900).Draw(t, "jump")) * time.Second
+			jump := time.Duration(rapid.IntRange(1, 900).Draw(t, "jump")) * time.Second
+			m.clock.before(rapid.IntRange(1, 4).Draw(t, "looks"), func() { m.clock.advance(jump) })
 		},
 		"restart": func(t *rapid.T) {
 			if rapid.IntRange(0, 9).Draw(t, "chance") == 0 {
@@ -278,12 +325,7 @@
 			m := &machine{target: &fakeTarget{}, records: rapid.SampledFrom([]int{fewRecords, manyRecords}).Draw(t, "records")}
 			m.restart()
 			t.Repeat(m.actions())
-			m.clock.jumpIn = 0
-			for _, s := range m.sent {
-				s.cancel()
-			}
-			m.advance(time.Minute)
-			synctest.Wait()
+			m.finish()
 			m.check(t)
 			if err := m.gate.Drain(context.Background()); err != nil {
 				t.Fatal(err)
--- a/internal/ffgate/record.go
+++ b/internal/ffgate/record.go
@@ -48,9 +48,10 @@
 	expireAt time.Time
 	size     int
 	index    int
-	// own is the place in the list of the customer's ledger; nil when in none.
-	own     *list.Element
-	ownList *list.List
+	// evictable and body are the places in the lists of the customer's ledger;
+	// nil when in none.
+	evictable *list.Element
+	body      *list.Element
 }
 
 // over reports whether the call has ended.
--- a/internal/ffgate/store.go
+++ b/internal/ffgate/store.go
@@ -125,14 +125,11 @@
 func (s *store) keepReply(l *ledger, r *record, reply *ffcall.Reply) {
 	size := replySize(reply)
 	for l.bytes+size > s.maxBytes-s.bytes-size {
-		if old := oldest(&l.evictable); old != nil {
-			s.evict(l, old)
-		} else if old := oldest(&l.bodies); old != nil {
-			s.dropReply(l, old)
-			l.drop(old)
-		} else {
+		old := oldest(&l.bodies)
+		if old == nil {
 			return
 		}
+		s.dropReply(l, old)
 	}
 	r.reply = reply
 	r.size = size
@@ -145,6 +142,7 @@
 	l.bytes -= r.size
 	r.reply = nil
 	r.size = 0
+	l.dropBody(r)
 }
 
 // evict forgets an ended record before its time.
--- a/internal/ffgate/target_test.go
+++ b/internal/ffgate/target_test.go
@@ -1,6 +1,7 @@
 package ffgate_test
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -170,5 +171,5 @@
 		ids = append(ids, x.call.ID)
 	}
 	slices.Sort(ids)
-	return strings.Join(ids, " ")
+	return cmp.Or(strings.Join(ids, " "), "none")
 }
