--- a/internal/ffdaemon/provide.go
+++ b/internal/ffdaemon/provide.go
@@ -1,9 +1,11 @@
 package ffdaemon
 
 import (
+	"cmp"
 	crand "crypto/rand"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"github.com/google/wire"
@@ -37,6 +39,8 @@
 var providers = wire.NewSet(
 	provideSelf,
 	provideIncarnation,
+	provideDialer,
+	provideSwitches,
 	provideTrail,
 	provideRegistry,
 	provideState,
@@ -54,7 +58,7 @@
 	provideBudget,
 	providePlatform,
 	wire.Struct(new(ffpeer.Meter)),
-	wire.Struct(new(ffpeer.Pool), "Meter"),
+	providePool,
 	wire.Struct(new(ffpeer.Client), "*"),
 	provideNode,
 	providePeerServer,
@@ -69,7 +73,7 @@
 	provideLimitHandler,
 	provideChooser,
 	provideRetry,
-	wire.Struct(new(ffforward.Client)),
+	provideRemote,
 	provideForwardHandler,
 	provideForwardServer,
 	provideEntry,
@@ -82,8 +86,8 @@
 		Name:            s.Name,
 		DataCentre:      s.DataCentre,
 		Service:         s.Service,
-		PeerAddress:     s.PeerAddress,
-		ForwardAddress:  s.ForwardAddress,
+		PeerAddress:     cmp.Or(s.PeerAdvertised, s.PeerAddress),
+		ForwardAddress:  cmp.Or(s.CallAdvertised, s.ForwardAddress),
 		OperatorAddress: s.OperatorAddress,
 	}
 }
@@ -116,10 +120,16 @@
 	return &ffdistribution.Budget{Name: s.Name, Ceiling: s.PlatformRate, FleetSize: s.MaxFleet}
 }
 
-func providePlatform(s Settings, budget *ffdistribution.Budget) *ffplatform.Client {
-	return ffplatform.NewClient(s.Platform, budget)
+func providePlatform(s Settings, budget *ffdistribution.Budget, d *net.Dialer) *ffplatform.Client {
+	return ffplatform.NewClient(s.Platform, budget, d.DialContext)
 }
 
+func providePool(meter *ffpeer.Meter, d *net.Dialer) *ffpeer.Pool {
+	return &ffpeer.Pool{Meter: meter, DialContext: d.DialContext}
+}
+
+func provideRemote(d *net.Dialer) *ffforward.Client { return &ffforward.Client{Dialer: d} }
+
 func provideNode(
 	s Settings, log zerolog.Logger, self ffmember.VM, incarnation ffmember.Incarnation, trail *ffaudit.Trail,
 	store *ffdistribution.Store, members *ffdistribution.Members, budget *ffdistribution.Budget,
@@ -137,14 +147,14 @@
 	return fftarget.NewClient(fftarget.Settings{Address: s.Target})
 }
 
-func provideGate(s Settings, incarnation ffmember.Incarnation, target *fftarget.Client, store *ffdistribution.Store) (*ffgate.Gate, error) {
+func provideGate(s Settings, off switches, incarnation ffmember.Incarnation, target *fftarget.Client, store *ffdistribution.Store) (*ffgate.Gate, error) {
 	issuer, err := fftoken.NewIssuer(s.Name, uint64(incarnation), time.Now(), crand.Reader)
 	if err != nil {
 		return nil, err
 	}
 	return &ffgate.Gate{
 		VM: s.Name, Incarnation: uint64(incarnation), Service: s.Service,
-		Target: target, Snapshots: current{store: store}, Issuer: issuer,
+		Target: target, Snapshots: current{store: store}, Issuer: issuer, Off: off.gate,
 	}, nil
 }
 
@@ -154,8 +164,8 @@
 // Current returns the version in force; nil when there is none.
 func (c current) Current() *ffconfig.Snapshot { return c.store.Snapshot() }
 
-func provideChooser(s Settings) *ffbalance.Chooser {
-	return &ffbalance.Chooser{Entry: s.Name, DataCentre: s.DataCentre, Draw: rand.Uint64}
+func provideChooser(s Settings, off switches) *ffbalance.Chooser {
+	return &ffbalance.Chooser{Entry: s.Name, DataCentre: s.DataCentre, Draw: rand.Uint64, Off: off.balance}
 }
 
 func provideRetry() *ffretry.Policy { return &ffretry.Policy{Draw: rand.Float64} }
@@ -182,12 +192,12 @@
 }
 
 func provideEntry(
-	s Settings, store *ffdistribution.Store, members *ffdistribution.Members, limiter *fflimit.Limiter,
+	s Settings, off switches, store *ffdistribution.Store, members *ffdistribution.Members, limiter *fflimit.Limiter,
 	chooser *ffbalance.Chooser, retry *ffretry.Policy, gate *ffgate.Gate, remote *ffforward.Client,
 ) *ffentry.Entry {
 	return &ffentry.Entry{
 		Self: s.Name, Snapshots: store, Members: members, Limiter: limiter,
-		Chooser: chooser, Retry: retry, Gate: gate, Remote: remote,
+		Chooser: chooser, Retry: retry, Gate: gate, Remote: remote, NoHedge: off.noHedge,
 	}
 }
 
--- a/internal/ffdaemon/settings.go
+++ b/internal/ffdaemon/settings.go
@@ -20,6 +20,8 @@
 	CallerAddress   string        `arg:"--caller-address,env:FIREFLYFALL_CALLER_ADDRESS,required" placeholder:"IP:PORT" help:"address for callers"`
 	PeerAddress     string        `arg:"--peer-address,env:FIREFLYFALL_PEER_ADDRESS,required" placeholder:"IP:PORT" help:"address for the control messages of other daemons"`
 	ForwardAddress  string        `arg:"--forward-address,env:FIREFLYFALL_FORWARD_ADDRESS,required" placeholder:"IP:PORT" help:"address for calls from other daemons"`
+	PeerAdvertised  string        `arg:"--peer-advertised,env:FIREFLYFALL_PEER_ADVERTISED" placeholder:"IP:PORT" help:"address for control messages as other daemons reach it, when it differs"`
+	CallAdvertised  string        `arg:"--forward-advertised,env:FIREFLYFALL_FORWARD_ADVERTISED" placeholder:"IP:PORT" help:"address for calls as other daemons reach it, when it differs"`
 	OperatorAddress string        `arg:"--operator-address,env:FIREFLYFALL_OPERATOR_ADDRESS,required" placeholder:"IP:PORT" help:"address for operators; keep it closed to callers"`
 	OperatorKey     string        `arg:"--operator-key,env:FIREFLYFALL_OPERATOR_KEY" placeholder:"KEY" help:"key that operators must send; none is asked when empty"`
 	Platform        []string      `arg:"--platform,env:FIREFLYFALL_PLATFORM,required" placeholder:"IP:PORT" help:"addresses of the platform, tried in turn"`
@@ -27,6 +29,7 @@
 	PlatformRate    float64       `arg:"--platform-rate,env:FIREFLYFALL_PLATFORM_RATE" default:"2000" placeholder:"N" help:"calls a second that the platform allows over all readers"`
 	MaxFleet        int           `arg:"--max-fleet,env:FIREFLYFALL_MAX_FLEET" default:"5200" placeholder:"N" help:"greatest number of daemons, assumed while the fleet is unknown"`
 	DrainTimeout    time.Duration `arg:"--drain-timeout,env:FIREFLYFALL_DRAIN_TIMEOUT" default:"10m" placeholder:"DURATION" help:"greatest time that a planned stop waits for calls in flight"`
+	Off             []string      `arg:"--off,env:FIREFLYFALL_OFF" placeholder:"POLICY" help:"policies to turn off, to compare with and without: roundRobin, noLoad, noShunning, noSpill, oneQueue, noReserve, noRefusal, noHedge"`
 	LogLevel        string        `arg:"--log-level,env:FIREFLYFALL_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 }
 
@@ -48,11 +51,16 @@
 	f.address("peer-address", s.PeerAddress)
 	f.address("forward-address", s.ForwardAddress)
 	f.address("operator-address", s.OperatorAddress)
+	f.optionalAddress("peer-advertised", s.PeerAdvertised)
+	f.optionalAddress("forward-advertised", s.CallAdvertised)
 	f.addresses("platform", s.Platform)
 	f.addresses("peers", s.Peers)
 	f.require(s.PlatformRate > 0 && s.PlatformRate <= maxPlatformRate, "platform-rate", s.PlatformRate, "above 0 and at most 1000000")
 	f.require(s.MaxFleet >= 1 && s.MaxFleet <= maxFleet, "max-fleet", s.MaxFleet, "1 to 100000")
 	f.require(s.DrainTimeout >= minDrainTimeout && s.DrainTimeout <= maxDrainTimeout, "drain-timeout", s.DrainTimeout, "1s to 24h")
+	for _, name := range s.Off {
+		f.require(policies[name] != nil, "off", name, "one of "+policyNames())
+	}
 	_, err := zerolog.ParseLevel(s.LogLevel)
 	f.require(err == nil, "log-level", s.LogLevel, "debug, info, warn or error")
 	if len(f) > 0 {
@@ -80,6 +88,12 @@
 	f.require(err == nil, flag, value, "an IP address and a port, as 10.0.0.7:8080")
 }
 
+func (f *faults) optionalAddress(flag, value string) {
+	if value != "" {
+		f.address(flag, value)
+	}
+}
+
 func (f *faults) addresses(flag string, values []string) {
 	for _, v := range values {
 		f.address(flag, v)
--- a/internal/ffdaemon/wire_gen.go
+++ b/internal/ffdaemon/wire_gen.go
@@ -8,7 +8,6 @@
 
 import (
 	"fireflyfall.dev/fireflyfall/internal/ffcaller"
-	"fireflyfall.dev/fireflyfall/internal/ffforward"
 	"fireflyfall.dev/fireflyfall/internal/ffpeer"
 	"github.com/rs/zerolog"
 )
@@ -24,26 +23,29 @@
 	members := provideMembers(trail)
 	budget := provideBudget(s)
 	meter := &ffpeer.Meter{}
-	pool := &ffpeer.Pool{
-		Meter: meter,
+	dialer, err := provideDialer(s)
+	if err != nil {
+		return nil, err
 	}
+	pool := providePool(meter, dialer)
 	client := &ffpeer.Client{
 		Pool: pool,
 	}
-	ffplatformClient := providePlatform(s, budget)
+	ffplatformClient := providePlatform(s, budget, dialer)
 	node := provideNode(s, log, vm, incarnation, trail, store, members, budget, client, ffplatformClient, registry)
 	ffdaemonState := provideState(vm, incarnation, node, store, members)
 	limiter := provideLimiter(s, incarnation)
 	exchange := provideExchange(limiter, pool)
+	ffdaemonSwitches := provideSwitches(s)
 	fftargetClient := provideTarget(s)
-	gate, err := provideGate(s, incarnation, fftargetClient, store)
+	gate, err := provideGate(s, ffdaemonSwitches, incarnation, fftargetClient, store)
 	if err != nil {
 		return nil, err
 	}
-	chooser := provideChooser(s)
+	chooser := provideChooser(s, ffdaemonSwitches)
 	policy := provideRetry()
-	ffforwardClient := &ffforward.Client{}
-	entry := provideEntry(s, store, members, limiter, chooser, policy, gate, ffforwardClient)
+	ffforwardClient := provideRemote(dialer)
+	entry := provideEntry(s, ffdaemonSwitches, store, members, limiter, chooser, policy, gate, ffforwardClient)
 	metrics := ffcaller.NewMetrics(registry)
 	handler := ffcaller.NewHandler(entry, metrics)
 	ffoperatorHandler := provideOperator(s, ffdaemonState, trail, registry)
