Queue: long work leaves the slots that short work has been asking for

Cause: when the short queue was empty for a moment, long work took every slot up to its cap and kept them for seconds; the next swing of short work then waited.

Long work that waits looks every 250 ms, because no event tells it that the demand has faded.

--- a/internal/ffgate/do.go
+++ b/internal/ffgate/do.go
@@ -132,6 +132,12 @@
 	}
 }
 
+func (g *Gate) look() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch(g.now())
+}
+
 // decide refuses a call that waits. The caller holds the lock.
 func (g *Gate) decide(now time.Time, x *execution, refusal *ffcall.Error) {
 	g.end(now, x, 0, nil, refusal)
--- a/internal/ffgate/execution.go
+++ b/internal/ffgate/execution.go
@@ -9,12 +9,16 @@
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
 	"fireflyfall.dev/fireflyfall/internal/ffqueue"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
 // overrun is the time after its deadline for which a call that must not run
 // twice may go on, so that its outcome becomes known.
 const overrun = 30 * time.Second
 
+// lookInterval is the time between the looks of waiting long work for a free slot.
+const lookInterval = 250 * time.Millisecond
+
 // execution is a call on its way from the queue to the target.
 type execution struct {
 	gate   *Gate
@@ -37,15 +41,8 @@
 
 // do waits for a slot, runs the call and returns its outcome.
 func (x *execution) do(ctx context.Context) (*ffcall.Reply, *ffcall.Error) {
-	select {
-	case refusal := <-x.decided:
-		if refusal != nil {
-			return nil, refusal
-		}
-	case <-ctx.Done():
-		if refusal := x.abandon(ctx); refusal != nil {
-			return nil, refusal
-		}
+	if refusal := x.wait(ctx); refusal != nil {
+		return nil, refusal
 	}
 	x.caller = ctx
 	if !x.record.durable {
@@ -65,6 +62,27 @@
 	return x.reply, x.refusal
 }
 
+// wait returns nil when the call holds a slot. Long work looks from time to time
+// whether short work has left it more slots: no event tells it so.
+func (x *execution) wait(ctx context.Context) *ffcall.Error {
+	var look <-chan time.Time
+	if x.item.Class == ffconfig.ClassLong {
+		ticker := time.NewTicker(lookInterval)
+		defer ticker.Stop()
+		look = ticker.C
+	}
+	for {
+		select {
+		case refusal := <-x.decided:
+			return refusal
+		case <-look:
+			x.gate.look()
+		case <-ctx.Done():
+			return x.abandon(ctx)
+		}
+	}
+}
+
 // abandon takes the call out of the queue, or gives its unused slot back.
 func (x *execution) abandon(ctx context.Context) *ffcall.Error {
 	g := x.gate
--- a/internal/ffqueue/naive_test.go
+++ b/internal/ffqueue/naive_test.go
@@ -1,6 +1,7 @@
 package ffqueue_test
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,26 @@
 	start   map[naiveKey]float64
 	waiting []*item
 	running []*item
+	looks   []look
+}
+
+// look is the number of short items that run or wait at a time.
+type look struct {
+	at time.Time
+	n  int
+}
+
+// longSlots takes the mean of short work over all looks, older ones weighing less.
+func (n *naive) longSlots(now time.Time) int {
+	short := func(o *item) bool { return o.Class == ffconfig.ClassShort }
+	n.looks = append(n.looks, look{now, n.count(n.waiting, short) + n.count(n.running, short)})
+	mean := 0.0
+	for i, l := range n.looks[1:] {
+		kept := math.Exp(-l.at.Sub(n.looks[i].at).Seconds())
+		mean = kept*mean + (1-kept)*float64(n.looks[i].n)
+	}
+	left := n.limits.Slots - int(math.Ceil(mean+math.Sqrt(mean)))
+	return min(max(left, 1), n.limits.LongSlots)
 }
 
 func keyOf(it *item) naiveKey { return naiveKey{it.Customer, it.Class} }
@@ -131,11 +152,12 @@
 }
 
 func (n *naive) next(now time.Time) (*item, ffqueue.Decision) {
+	longSlots := n.longSlots(now)
 	if len(n.running) >= n.limits.Slots {
 		return nil, ffqueue.DecisionWait
 	}
 	it, long := n.first(ffconfig.ClassShort), n.first(ffconfig.ClassLong)
-	if long != nil && n.longRunning() < n.limits.LongSlots {
+	if long != nil && n.longRunning() < longSlots {
 		if it == nil || n.longRunning() == 0 {
 			it = long
 		}
--- a/internal/ffqueue/queue.go
+++ b/internal/ffqueue/queue.go
@@ -29,7 +29,8 @@
 type Limits struct {
 	// Slots is the number of calls that run at once.
 	Slots int
-	// LongSlots bounds the slots that long work holds.
+	// LongSlots bounds the slots that long work holds; with Slots or more, none is
+	// kept for short work.
 	LongSlots int
 	// Length bounds the calls that wait.
 	Length int
@@ -50,6 +51,7 @@
 	// pending and shares sum over the flows with items waiting.
 	pending [classCount]time.Duration
 	shares  [classCount]float64
+	demand  demand
 }
 
 // New returns an empty queue.
@@ -137,7 +139,17 @@
 	if q.InUse() >= q.limits.Slots {
 		return false
 	}
-	return c == ffconfig.ClassShort || q.running[c] < q.limits.LongSlots
+	return c == ffconfig.ClassShort || q.running[c] < q.longSlots()
+}
+
+// longSlots is the number of slots that long work may hold now: at least the one
+// that is kept for it, at most what its limit and the demand of short work leave.
+func (q *Queue[T]) longSlots() int {
+	if q.limits.LongSlots >= q.limits.Slots {
+		return q.limits.Slots
+	}
+	left := max(q.limits.Slots-q.demand.slots(), keptForLong)
+	return min(left, q.limits.LongSlots)
 }
 
 // victim returns the item that gives way to a new one; nil when none does.
@@ -160,6 +172,8 @@
 // until Release; with DecisionLate its deadline can no longer be met and it
 // holds none.
 func (q *Queue[T]) Next(now time.Time) (*Item[T], Decision) {
+	short := ffconfig.ClassShort
+	q.demand.observe(now, q.running[short]+q.queued[short])
 	f := q.choose()
 	if f == nil {
 		return nil, DecisionWait
--- a/internal/ffqueue/virtualtime_test.go
+++ b/internal/ffqueue/virtualtime_test.go
@@ -198,7 +198,7 @@
 	}
 }
 
-// TestShortWorkGetsTheCrest has short work ask for 0.8 of the slots but the one kept
+// TestShortWorkGetsTheCrest has short work ask for 0.95 of the slots but the one kept
 // for long work.
 func TestShortWorkGetsTheCrest(t *testing.T) {
 	got := simulate(ffqueue.New[int](runLimits), []source{crestLookups(), photos})
@@ -220,7 +220,7 @@
 
 func crestLookups() source {
 	s := lookups
-	s.perSecond = 0.8 * float64(runLimits.Slots-1) / s.service.Seconds()
+	s.perSecond = 0.95 * float64(runLimits.Slots-1) / s.service.Seconds()
 	return s
 }
 
