Gate: only a call that the target shed lowers the slots in use

Cause: any call that did not run counted as shed, also one whose deadline passed before its first byte went out. Seen to fail first: a script where such a call leaves 2 of 3 slots.

--- a/internal/ffgate/config.go
+++ b/internal/ffgate/config.go
@@ -16,7 +16,7 @@
 
 // take replaces the configuration and reports whether it changed.
 func (c *config) take(s *ffconfig.Snapshot, service string) bool {
-	if s == c.snapshot {
+	if s == nil || s == c.snapshot {
 		return false
 	}
 	*c = config{snapshot: s, routes: make(map[string]*ffconfig.Route)}
--- a/internal/ffgate/do.go
+++ b/internal/ffgate/do.go
@@ -191,7 +191,7 @@
 		g.estimator.Observe(now, x.call.Route.Name, used)
 	case refusal.Kind == ffcall.KindUnreachable && refusal.Outcome == ffcall.OutcomeNotRun:
 		g.health.failed(now)
-	case refusal.Outcome == ffcall.OutcomeNotRun && x.ctx.Err() == nil:
+	case refusal.Kind == ffcall.KindOverload && refusal.Outcome == ffcall.OutcomeNotRun:
 		g.health.reached()
 		g.limiter.shed(now, all)
 	}
--- a/internal/ffgate/script_test.go
+++ b/internal/ffgate/script_test.go
@@ -93,7 +93,7 @@
 		if err != nil {
 			s.print(describe(nil, err))
 		}
-	case "answer", "shed", "unreachable", "cut":
+	case "answer", "shed", "unreachable", "late", "cut":
 		s.endOf(name, args)
 	case "cancel":
 		s.byID[args[0]].cancel()
@@ -170,7 +170,7 @@
 }
 
 func (s *script) endOf(how string, ids []string) {
-	ends := map[string]error{"shed": errShed, "unreachable": errUnreachable, "cut": merry.New("the connection broke")}
+	ends := map[string]error{"shed": errShed, "unreachable": errUnreachable, "late": errLate, "cut": merry.New("the connection broke")}
 	for _, x := range s.target.snapshot() {
 		if len(ids) == 0 || strings.HasPrefix(x.call.ID, ids[0]) {
 			x.end <- ends[how]
--- a/internal/ffgate/target_test.go
+++ b/internal/ffgate/target_test.go
@@ -101,6 +101,7 @@
 // Errors by which a target says that a call did not run.
 var (
 	errShed        = ffcall.Refuse("target", ffcall.KindOverload, merry.New("shed"))
+	errLate        = ffcall.Refuse("target", ffcall.KindDeadline, merry.New("too late for the first byte"))
 	errUnreachable = ffcall.Refuse("target", ffcall.KindUnreachable, merry.New("no connection"))
 )
 
--- a/internal/ffqueue/virtualtime_test.go
+++ b/internal/ffqueue/virtualtime_test.go
@@ -1,7 +1,6 @@
 package ffqueue_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -71,7 +70,7 @@
 	return r.waits[len(r.waits)*99/100]
 }
 
-// event is an arrival of a source, or the end of a call when it is not nil.
+// event is an arrival of a source, or the end of a call when it has one.
 type event struct {
 	at     time.Time
 	source int
@@ -79,25 +78,13 @@
 	used   time.Duration
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // run is one queue and its target in virtual time.
 type run struct {
 	q         scheduler
 	sources   []source
 	results   []result
 	estimator ffqueue.Estimator
-	events    events
+	events    []event
 	rnd       *rand.Rand
 	arrivals  map[*item]time.Time
 }
@@ -107,28 +94,40 @@
 	runLength = 20 * time.Second
 )
 
-func simulate(q scheduler, sources []source) []result {
+func simulate(q scheduler, sources ...source) []result {
 	r := &run{q: q, sources: sources, results: make([]result, len(sources)), rnd: rand.New(rand.NewPCG(runSeed, runSeed)), arrivals: make(map[*item]time.Time)}
 	for i := range sources {
 		r.arriveAfter(epoch, i)
 	}
 	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(event)
-		if e.call == nil {
-			r.arrive(e)
-		} else {
-			q.Release(e.call, e.used)
-			r.estimator.Observe(e.at, e.call.Customer, e.used)
-		}
-		r.start(e.at)
+		r.step()
 	}
 	return r.results
 }
 
+// step takes the earliest event; there are never more than sources and slots.
+func (r *run) step() {
+	next := 0
+	for i, e := range r.events {
+		if e.at.Before(r.events[next].at) {
+			next = i
+		}
+	}
+	e := r.events[next]
+	r.events = slices.Delete(r.events, next, next+1)
+	if e.call == nil {
+		r.arrive(e)
+	} else {
+		r.q.Release(e.call, e.used)
+		r.estimator.Observe(e.at, e.call.Customer, e.used)
+	}
+	r.start(e.at)
+}
+
 func (r *run) arriveAfter(now time.Time, i int) {
 	at := now.Add(time.Duration(r.rnd.ExpFloat64() / r.sources[i].perSecond * float64(time.Second)))
 	if at.Before(epoch.Add(runLength)) {
-		heap.Push(&r.events, event{at: at, source: i})
+		r.events = append(r.events, event{at: at, source: i})
 	}
 }
 
@@ -157,7 +156,7 @@
 		if !now.Add(used).After(it.Deadline) {
 			res.inTime++
 		}
-		heap.Push(&r.events, event{at: now.Add(used), call: it, used: used})
+		r.events = append(r.events, event{at: now.Add(used), call: it, used: used})
 	}
 }
 
@@ -170,7 +169,7 @@
 )
 
 func TestFloodLeavesOthersWithinTheirShare(t *testing.T) {
-	got := simulate(ffqueue.New[int](runLimits), []source{porters, flood})
+	got := simulate(ffqueue.New[int](runLimits), porters, flood)
 	if served := got[0].servedPercent(); served < 99 {
 		t.Errorf("%.2f%% of the small customer's calls are served, want 99%%", served)
 	}
@@ -182,7 +181,7 @@
 func TestSharesDivideTheSlots(t *testing.T) {
 	big := flood
 	big.customer, big.share = "big", 3
-	got := simulate(ffqueue.New[int](runLimits), []source{flood, big})
+	got := simulate(ffqueue.New[int](runLimits), flood, big)
 	if ratio := float64(got[1].inTime) / float64(got[0].inTime); ratio < 2.9 || ratio > 3.1 {
 		t.Errorf("a share of 3 gets %.2f times the calls of a share of 1", ratio)
 	}
@@ -192,7 +191,7 @@
 func TestLongWorkIsNotStarvedByShortWork(t *testing.T) {
 	impatient := photos
 	impatient.timeout = 5 * time.Second
-	got := simulate(ffqueue.New[int](runLimits), []source{flood, impatient})
+	got := simulate(ffqueue.New[int](runLimits), flood, impatient)
 	if want := int(0.9 * runLength.Seconds() / photos.service.Seconds()); got[1].inTime < want {
 		t.Errorf("%d long calls are served beside a flood of short ones, want %d", got[1].inTime, want)
 	}
@@ -201,15 +200,15 @@
 // TestShortWorkGetsTheCrest has short work ask for 0.95 of the slots but the one kept
 // for long work.
 func TestShortWorkGetsTheCrest(t *testing.T) {
-	got := simulate(ffqueue.New[int](runLimits), []source{crestLookups(), photos})
+	got := simulate(ffqueue.New[int](runLimits), crestLookups(), photos)
 	if served := got[0].servedPercent(); served < 99 {
 		t.Errorf("%.2f%% of short work is served beside long work, want 99%%", served)
 	}
 }
 
 func TestShortWorkDoesNotWaitBehindLongWork(t *testing.T) {
-	alone := simulate(ffqueue.New[int](runLimits), []source{lookups})
-	beside := simulate(ffqueue.New[int](runLimits), []source{lookups, photos})
+	alone := simulate(ffqueue.New[int](runLimits), lookups)
+	beside := simulate(ffqueue.New[int](runLimits), lookups, photos)
 	if a, b := alone[0].p99(), beside[0].p99(); b > a+porters.service {
 		t.Errorf("p99 wait of short work is %v beside long work and %v without", b, a)
 	}
@@ -244,7 +243,7 @@
 }
 
 func TestCrestIsAnsweredInTime(t *testing.T) {
-	if got := goodputPercent(simulate(ffqueue.New[int](runLimits), crestSources())); got < 90 {
+	if got := goodputPercent(simulate(ffqueue.New[int](runLimits), crestSources()...)); got < 90 {
 		t.Errorf("%.1f%% of the capacity answers in time, want 90%%", got)
 	}
 }
@@ -276,7 +275,7 @@
 func benchmarkRun(b *testing.B, create func() scheduler, sources []source) {
 	var got []result
 	for b.Loop() {
-		got = simulate(create(), sources)
+		got = simulate(create(), sources...)
 	}
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(goodputPercent(got), "goodput%")
