--- a/internal/ffdaemon/provide.go
+++ b/internal/ffdaemon/provide.go
@@ -57,7 +57,7 @@
 	provideMembers,
 	provideBudget,
 	providePlatform,
-	wire.Struct(new(ffpeer.Meter)),
+	provideMeter,
 	providePool,
 	wire.Struct(new(ffpeer.Client), "*"),
 	provideNode,
@@ -124,20 +124,29 @@
 	return ffplatform.NewClient(s.Platform, budget, d.DialContext)
 }
 
+func provideMeter(registry *prometheus.Registry) *ffpeer.Meter {
+	meter := &ffpeer.Meter{}
+	registry.MustRegister(meter)
+	return meter
+}
+
 func providePool(meter *ffpeer.Meter, d *net.Dialer) *ffpeer.Pool {
 	return &ffpeer.Pool{Meter: meter, DialContext: d.DialContext}
 }
 
-func provideRemote(d *net.Dialer) *ffforward.Client { return &ffforward.Client{Dialer: d} }
+func provideRemote(s Settings, d *net.Dialer, node *ffdistribution.Node) *ffforward.Client {
+	return &ffforward.Client{Dialer: d, Self: s.Name, Versions: node}
+}
 
 func provideNode(
 	s Settings, log zerolog.Logger, self ffmember.VM, incarnation ffmember.Incarnation, trail *ffaudit.Trail,
 	store *ffdistribution.Store, members *ffdistribution.Members, budget *ffdistribution.Budget,
-	peers *ffpeer.Client, platform *ffplatform.Client, registry *prometheus.Registry,
+	peers *ffpeer.Client, platform *ffplatform.Client, limiter *fflimit.Limiter, registry *prometheus.Registry,
 ) *ffdistribution.Node {
 	node := &ffdistribution.Node{
 		Self: self, Incarnation: incarnation, Seeds: s.Peers, Store: store, Members: members,
 		Budget: budget, Peers: peers, Platform: platform, Audit: trail, Log: log,
+		OnPause: limiter.Expire,
 	}
 	registry.MustRegister(node)
 	return node
@@ -147,15 +156,17 @@
 	return fftarget.NewClient(fftarget.Settings{Address: s.Target})
 }
 
-func provideGate(s Settings, off switches, incarnation ffmember.Incarnation, target *fftarget.Client, store *ffdistribution.Store) (*ffgate.Gate, error) {
+func provideGate(s Settings, off switches, incarnation ffmember.Incarnation, target *fftarget.Client, store *ffdistribution.Store, registry *prometheus.Registry) (*ffgate.Gate, error) {
 	issuer, err := fftoken.NewIssuer(s.Name, uint64(incarnation), time.Now(), crand.Reader)
 	if err != nil {
 		return nil, err
 	}
-	return &ffgate.Gate{
+	gate := &ffgate.Gate{
 		VM: s.Name, Incarnation: uint64(incarnation), Service: s.Service,
 		Target: target, Snapshots: current{store: store}, Issuer: issuer, Off: off.gate,
-	}, nil
+	}
+	registry.MustRegister(gate)
+	return gate, nil
 }
 
 // current gives the gate the version in force.
@@ -170,8 +181,10 @@
 
 func provideRetry() *ffretry.Policy { return &ffretry.Policy{Draw: rand.Float64} }
 
-func provideForwardHandler(s Settings, incarnation ffmember.Incarnation, gate *ffgate.Gate, store *ffdistribution.Store) *ffforward.Server {
-	return &ffforward.Server{VM: s.Name, Incarnation: uint64(incarnation), Gate: gate, Snapshots: store}
+func provideForwardHandler(s Settings, incarnation ffmember.Incarnation, gate *ffgate.Gate, store *ffdistribution.Store, node *ffdistribution.Node) *ffforward.Server {
+	return &ffforward.Server{
+		VM: s.Name, Incarnation: uint64(incarnation), Gate: gate, Snapshots: store, Readiness: node, Versions: node,
+	}
 }
 
 func providePeerServer(meter *ffpeer.Meter, node *ffdistribution.Node, limits *fflimit.Handler, log zerolog.Logger) (peerServer, error) {
@@ -192,11 +205,11 @@
 }
 
 func provideEntry(
-	s Settings, off switches, store *ffdistribution.Store, members *ffdistribution.Members, limiter *fflimit.Limiter,
+	s Settings, off switches, store *ffdistribution.Store, node *ffdistribution.Node, members *ffdistribution.Members, limiter *fflimit.Limiter,
 	chooser *ffbalance.Chooser, retry *ffretry.Policy, gate *ffgate.Gate, remote *ffforward.Client,
 ) *ffentry.Entry {
 	return &ffentry.Entry{
-		Self: s.Name, Snapshots: store, Members: members, Limiter: limiter,
+		Self: s.Name, Snapshots: store, Readiness: node, Members: members, Limiter: limiter,
 		Chooser: chooser, Retry: retry, Gate: gate, Remote: remote, NoHedge: off.noHedge,
 	}
 }
