Start a whole fleet within the platform's rate, and stop idle evidence

Start: no daemon was ready, so none served pieces, and each read all of them alone; those with the small part of the rate were stuck at that while others became ready. Now pieces are served before a daemon is ready (they are named by their hash, so they bring nothing older back), daemons with the greater part of the rate share the reading, the others wait up to 10 s for a peer that has the version whole, and each attempt ends after 4 s and keeps what has come. Sharing goes on as long as pieces arrive. The greater part of the rate goes to fewer daemons (82 in place of 160 of 5,200, 4.5 calls a second and a burst of 4 besides two watches); how many may be favoured above the mean is three deviations.

Evidence: each daemon renewed its word though the list showed it, so digests never agreed and each exchange carried evidence. A daemon now says so only while the view needs it, and rumours stop at the first peer that knows as much.

TestWholeFleetStartsWithinBudget failed with pieces refused before readiness.

--- a/internal/ffdistribution/budget.go
+++ b/internal/ffdistribution/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,9 +24,10 @@
 	commonPart = 0.25
 	// favouredCost is what one favoured daemon may use in its worst second:
 	// watchCost, one second's rate and the burst.
-	favouredCost = 6.0
-	// favouredMargin is how many more daemons than expected may be favoured.
-	favouredMargin = 1.25
+	favouredCost = 11.0
+	// favouredDeviations is by how many standard deviations more daemons than
+	// expected may be favoured.
+	favouredDeviations = 3.0
 	// watchCost is the cost of the two watches that a daemon holds, in calls a second.
 	watchCost = 2.0
 )
@@ -43,9 +45,10 @@
 	// FleetSize is the largest number of daemons; 5200 when zero.
 	FleetSize int
 
-	once    sync.Once
-	limiter *rate.Limiter
-	period  time.Duration
+	once     sync.Once
+	fraction float64
+	limiter  *rate.Limiter
+	period   time.Duration
 
 	// turn is held by the caller that waits for next.
 	turn chan struct{}
@@ -62,16 +65,25 @@
 	b.period = time.Duration(float64(b.FleetSize) / (commonPart * b.Ceiling) * float64(time.Second))
 	b.turn = make(chan struct{}, 1)
 	b.next = time.Now().Add(rand.N(b.period))
-	favoured := min(float64(b.FleetSize), b.Ceiling*favouredPart/(favouredCost*favouredMargin))
-	each := favouredPart * b.Ceiling / (favouredMargin * favoured)
+	most := favouredPart * b.Ceiling / favouredCost
+	b.fraction = min(1, expected(most)/float64(b.FleetSize))
+	each := favouredPart * b.Ceiling / min(most, float64(b.FleetSize))
 	spare := (each - watchCost) / 2
 	b.limiter = rate.NewLimiter(rate.Limit(spare), int(spare))
 }
 
+// expected returns the mean of a count that chance takes above most only by more
+// than favouredDeviations.
+func expected(most float64) float64 {
+	half := favouredDeviations / 2
+	root := math.Sqrt(most+half*half) - half
+	return root * root
+}
+
 // Fraction returns the part of the fleet that is favoured, the same for every daemon.
 func (b *Budget) Fraction() float64 {
 	b.once.Do(b.init)
-	return min(1, b.Ceiling*favouredPart/(favouredCost*favouredMargin)/float64(b.FleetSize))
+	return b.fraction
 }
 
 // MayWatch reports whether this daemon may hold the platform's watches.
--- a/internal/ffdistribution/error.go
+++ b/internal/ffdistribution/error.go
@@ -46,4 +46,6 @@
 
 var errDamaged = errors.New("the message was damaged on the way")
 
+var errPatient = &Error{Op: "start", Kind: KindNotReady, Err: errors.New("waits for a peer that has the published version whole")}
+
 var errListDigest = errors.New("the list does not have the digest that the peer gave")
--- a/internal/ffdistribution/evidence.go
+++ b/internal/ffdistribution/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,18 +66,21 @@
 	}
 }
 
-// renew keeps this daemon's word alive while the list does not show it.
+// renew keeps this daemon's word alive while the view needs it: not while the
+// list alone shows the VM as it is, so that a fleet at rest has no evidence.
 func (n *Node) renew(now time.Time) {
 	view := n.Members.View()
+	own := n.ownEvidence(now)
 	known, ok := view.EvidenceOf(n.Self.Name)
-	if ok && known.Expires.Sub(now) > liveLife/2 {
+	current := known.Incarnation == own.Incarnation && known.State == own.State
+	if ok && current && known.Expires.Sub(now) > own.Expires.Sub(now)/2 {
 		return
 	}
-	evidence := n.ownEvidence(now)
-	n.Members.Learn(now, evidence)
-	if listed, ok := view.List().VM(n.Self.Name); !ok || listed.State != ffmember.StateLive || !known.Expires.After(now) {
-		n.rumours.add([]ffmember.Evidence{evidence})
+	if listed, _ := view.List().VM(n.Self.Name); listed == n.Self && own.State == ffmember.StateLive && (!ok || current) {
+		return
 	}
+	n.Members.Learn(now, own)
+	n.rumours.add([]ffmember.Evidence{own})
 }
 
 // learnEvidence merges evidence and passes on what was new.
@@ -97,8 +101,8 @@
 	}
 }
 
-// reply returns the evidence for the answer to an exchange: what travels, and a
-// sample of the rest when the two sides differ.
+// reply returns the evidence for the answer to an exchange when the two sides
+// differ: what travels, the latest, and a sample of the rest.
 func (n *Node) reply(from *ffprotocol.Summary) []*ffprotocol.Evidence {
 	view := n.Members.View()
 	if from.GetEvidenceDigest() == view.EvidenceDigest() {
@@ -106,13 +110,23 @@
 	}
 	out := n.rumours.take()
 	all := view.Evidence()
-	if len(all) > 0 {
-		start := n.IntN(len(all))
-		for i := range min(len(all), evidencePerMessage-len(out)) {
-			out = append(out, all[(start+i)%len(all)])
-		}
+	slices.SortStableFunc(all, func(a, b ffmember.Evidence) int { return b.Expires.Compare(a.Expires) })
+	latest := min(len(all), evidencePerMessage/2)
+	out = append(out, all[:latest]...)
+	return evidenceOut(append(out, n.sample(all[latest:], evidencePerMessage/2)...))
+}
+
+// sample returns up to count pieces of evidence that follow each other, from a random one on.
+func (n *Node) sample(all []ffmember.Evidence, count int) []ffmember.Evidence {
+	sample := make([]ffmember.Evidence, 0, count)
+	if len(all) == 0 {
+		return sample
+	}
+	start := n.IntN(len(all))
+	for i := range min(len(all), count) {
+		sample = append(sample, all[(start+i)%len(all)])
 	}
-	return evidenceOut(out)
+	return sample
 }
 
 // foreignSample returns count random VMs of each other data centre.
--- a/internal/ffdistribution/handler.go
+++ b/internal/ffdistribution/handler.go
@@ -35,13 +35,13 @@
 	return n.Store.manifestSince(versionIn(in.GetFrom().GetVersion()), in.GetWhole(), n.summary()), nil
 }
 
-// Pieces answers those of the pieces that this daemon has, as many as fit.
+// Pieces answers those of the pieces that this daemon has, as many as fit. It
+// does so before the daemon is ready too: a piece is named by its hash, so that it
+// cannot bring an older version back, and a fleet that starts as a whole shares
+// the reading of the platform this way.
 func (n *Node) Pieces(_ context.Context, in *ffprotocol.PiecesRequest) (*ffprotocol.PiecesResponse, error) {
 	n.once.Do(n.init)
 	n.learn(in.GetFrom(), nil)
-	if !n.Ready() {
-		return nil, errNotReady
-	}
 	out := &ffprotocol.PiecesResponse{From: n.summary()}
 	size := 0
 	for _, d := range in.GetDigests()[:min(len(in.GetDigests()), maxPiecesPerRequest)] {
--- a/internal/ffdistribution/node.go
+++ b/internal/ffdistribution/node.go
@@ -160,6 +160,9 @@
 		offer(n.lists, h)
 	}
 	n.learnEvidence(evidenceIn(evidence), h.foreign)
+	if from.GetEvidenceDigest() == n.Members.View().EvidenceDigest() {
+		n.rumours.clear()
+	}
 }
 
 // offer puts v into a queue if it has room.
--- a/internal/ffdistribution/node_test.go
+++ b/internal/ffdistribution/node_test.go
@@ -47,6 +47,18 @@
 	f.platform.list.VMs = append([]ffmember.VM{}, f.vms...)
 }
 
+// TestWholeFleetStartsWithinBudget starts every daemon at once with a large
+// version on the platform, while nobody has anything.
+func TestWholeFleetStartsWithinBudget(t *testing.T) {
+	inFleet(t, 6, 6, func(t *testing.T, f *fleet) {
+		f.favourFew()
+		r := newLargeRelease(1, "a", false, 60)
+		f.platform.serve(r)
+		f.startAll()
+		f.requireInForce(t, r.version, 20*time.Second)
+	})
+}
+
 // TestBudgetOfLargestFleetIsEnough spreads small and large versions while each
 // daemon keeps to its part of the platform's rate in a fleet of the largest size.
 func TestBudgetOfLargestFleetIsEnough(t *testing.T) {
--- a/internal/ffdistribution/pause.go
+++ b/internal/ffdistribution/pause.go
@@ -50,7 +50,9 @@
 	}
 	n.pause.beat(now)
 	n.Members.Expire(now)
-	n.renew(now)
+	if n.learnt.Load() {
+		n.renew(now)
+	}
 }
 
 func (n *Node) resume(now time.Time) {
--- a/internal/ffdistribution/rumours.go
+++ b/internal/ffdistribution/rumours.go
@@ -36,6 +36,14 @@
 	r.all = r.all[:min(len(r.all), maxRumours)]
 }
 
+// clear stops all travel: a peer was met that knows as much. Whoever does not is
+// found by the digest of its evidence.
+func (r *rumours) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = nil
+}
+
 // take returns what the next message carries.
 func (r *rumours) take() []ffmember.Evidence {
 	r.mu.Lock()
--- a/internal/ffdistribution/startup.go
+++ b/internal/ffdistribution/startup.go
@@ -21,6 +21,12 @@
 	askedHere = 16
 	// askedThere is the number of peers of each other data centre that are asked.
 	askedThere = 3
+	// patience is how long a daemon with a small part of the platform's rate waits
+	// at the start for peers that have a version whole, before it reads every piece itself.
+	patience = 10 * time.Second
+	// takeTimeout bounds one attempt to fetch the greatest version; pieces that
+	// have come stay for the next.
+	takeTimeout = 4 * time.Second
 	// askedSeeds bounds the seeds that are asked.
 	askedSeeds = 8
 )
@@ -40,9 +46,10 @@
 
 func (n *Node) learnUntilKnown(ctx context.Context) {
 	wait := newBackoff()
-	n.renew(time.Now())
+	until := time.Now().Add(patience)
 	for ctx.Err() == nil {
-		if n.learnRound(ctx) {
+		if n.learnRound(ctx, until) {
+			n.renew(time.Now())
 			n.learnt.Store(true)
 			offer(n.news, news{})
 			return
@@ -59,6 +66,8 @@
 	platform bool
 	// peers are the ready peers that answered.
 	peers []*ffprotocol.Summary
+	// patient tells to wait for a peer that has the published version whole.
+	patient bool
 }
 
 func (a *answers) hear(s *ffprotocol.Summary) {
@@ -71,11 +80,15 @@
 
 // learnRound asks the platform and peers, and puts the greatest version in force.
 // It reports whether anybody who knows has answered and that version is in force.
-func (n *Node) learnRound(ctx context.Context) bool {
+// Until the time given it leaves the pieces to daemons with a greater part of the rate.
+func (n *Node) learnRound(ctx context.Context, patientUntil time.Time) bool {
 	a := n.askAll(ctx)
+	a.patient = !n.Budget.MayWatch() && time.Now().Before(patientUntil)
 	if !a.platform && len(a.peers) == 0 {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
 	if err := n.takeGreatest(ctx, a); err != nil {
 		n.Log.Info().Err(err).Msg("greatest version not learnt yet")
 		return false
@@ -188,6 +201,9 @@
 // takePublished takes the platform's version; when that cannot be had whole, the
 // greatest that a peer has in force counts.
 func (n *Node) takePublished(ctx context.Context, a *answers) error {
+	if a.patient && len(a.peers) == 0 {
+		return errPatient
+	}
 	err := n.complete(ctx, a.manifest, origin{foreign: true})
 	if err == nil || len(a.peers) == 0 {
 		return err
