Choose the ports of a deployment on its own loopback network

Two deployments at a time took the same port (bind: address already in use) on the addresses of their data centres, since ports were tried on 127.0.0.1 alone. A daemon that lacks a version shows its last log lines.

--- a/internal/ffdeployment/applied.go
+++ b/internal/ffdeployment/applied.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
 	"fireflyfall.dev/fireflyfall/internal/ffaudit"
@@ -11,6 +12,9 @@
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
+// shownLines bounds the log lines that an error shows.
+const shownLines = 12
+
 // auditLine is the part of a daemon's log line that tells of a change.
 type auditLine struct {
 	Audit   string    `json:"audit"`
@@ -44,7 +48,8 @@
 		return true
 	})
 	if err != nil {
-		return at, &Error{Op: "await version", Kind: KindDeadline, Err: err}
+		lines := n.Daemon.Lines()
+		return at, &Error{Op: "await version", Kind: KindDeadline, Err: merry.Errorf("%w: last lines %q", err, lines[max(0, len(lines)-shownLines):])}
 	}
 	return at, nil
 }
--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -108,13 +108,19 @@
 			dataCentres = append(dataCentres, vm.DataCentre)
 		}
 	}
-	addresses, err := ffprocess.FreeAddresses(portsPerNode * len(d.plan.Fleet))
-	if err != nil {
-		return &Error{Op: "prepare", Kind: KindAddress, Err: err}
-	}
-	for i, vm := range d.plan.Fleet {
-		source := sourceOf(slices.Index(dataCentres, vm.DataCentre))
-		own := portsOf(addresses[i*portsPerNode:(i+1)*portsPerNode], source)
+	subnet := byte(1 + rand.IntN(subnets))
+	free := make(map[netip.Addr][]string)
+	for _, vm := range d.plan.Fleet {
+		source := sourceOf(subnet, slices.Index(dataCentres, vm.DataCentre))
+		if len(free[source]) == 0 {
+			addresses, err := ffprocess.FreeAddressesAt(source, portsPerNode*len(d.plan.Fleet))
+			if err != nil {
+				return &Error{Op: "prepare", Kind: KindAddress, Err: err}
+			}
+			free[source] = addresses
+		}
+		own := portsOf(free[source][:portsPerNode])
+		free[source] = free[source][portsPerNode:]
 		n := &Node{VM: vm, deployment: d, source: source, ports: own, Caller: own.caller, Target: ffstand.TargetControl{Address: own.targetControl}}
 		n.VM.PeerAddress = own.peer
 		n.VM.ForwardAddress = own.forward
@@ -127,15 +133,17 @@
 	return nil
 }
 
+// subnets is the number of loopback networks among which deployments choose, so
+// that two at a time seldom share one.
+const subnets = 250
+
 // sourceOf returns the loopback address of a data centre by its index.
-func sourceOf(index int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, byte(10 + index), 1}) }
+func sourceOf(subnet byte, index int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, subnet, byte(index), 1})
+}
 
-func portsOf(addresses []string, source netip.Addr) ports {
-	at := func(i int) string {
-		_, port, _ := net.SplitHostPort(addresses[i])
-		return net.JoinHostPort(source.String(), port)
-	}
-	return ports{caller: at(0), peer: at(1), forward: at(2), operator: at(3), target: at(4), targetControl: addresses[5]}
+func portsOf(a []string) ports {
+	return ports{caller: a[0], peer: a[1], forward: a[2], operator: a[3], target: a[4], targetControl: a[5]}
 }
 
 func (n *Node) prepareRelays(wanted bool) error {
--- a/internal/ffprocess/address.go
+++ b/internal/ffprocess/address.go
@@ -20,9 +20,15 @@
 // FreeAddresses returns n different loopback addresses (host and port) on which
 // nothing listens now.
 func FreeAddresses(n int) ([]string, error) {
+	return FreeAddressesAt(netip.AddrFrom4([4]byte{127, 0, 0, 1}), n)
+}
+
+// FreeAddressesAt returns n different addresses (host and port) of a loopback
+// address on which nothing listens now.
+func FreeAddressesAt(host netip.Addr, n int) ([]string, error) {
 	addresses := make([]string, 0, n)
 	for range n {
-		listener, err := listenAnywhere()
+		listener, err := listenAnywhere(host)
 		if err != nil {
 			return nil, err
 		}
@@ -32,11 +38,10 @@
 	return addresses, nil
 }
 
-func listenAnywhere() (net.Listener, error) {
-	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+func listenAnywhere(host netip.Addr) (net.Listener, error) {
 	for range maxPortTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		listener, err := net.Listen("tcp", netip.AddrPortFrom(loopback, uint16(port)).String())
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(host, uint16(port)).String())
 		if err == nil {
 			return listener, nil
 		}
