--- /dev/null
+++ b/internal/ffretry/policy_test.go
@@ -0,0 +1,132 @@
+package ffretry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "fireflyfall.dev/fireflyfall/internal/ffseed" // fixes the seed
+
+	"fireflyfall.dev/fireflyfall/internal/ffcall"
+	"fireflyfall.dev/fireflyfall/internal/ffretry"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func drawCall(t *rapid.T) *ffcall.Call {
+	class := rapid.SampledFrom([]ffconfig.Class{ffconfig.ClassShort, ffconfig.ClassLong}).Draw(t, "class")
+	return &ffcall.Call{
+		Route:    &ffconfig.Route{Name: "lookup", Idempotent: rapid.Bool().Draw(t, "idempotent"), Class: class},
+		Deadline: epoch.Add(time.Duration(rapid.IntRange(-100, 500).Draw(t, "deadlineMillis")) * time.Millisecond),
+	}
+}
+
+func drawError(t *rapid.T) *ffcall.Error {
+	return &ffcall.Error{
+		Kind:    ffcall.Kind(rapid.IntRange(0, int(ffcall.KindCancelled)).Draw(t, "kind")),
+		Outcome: ffcall.Outcome(rapid.IntRange(0, int(ffcall.OutcomeNotRun)).Draw(t, "outcome")),
+		RetryAt: epoch.Add(time.Duration(rapid.IntRange(-100, 1000).Draw(t, "retryAtMillis")) * time.Millisecond),
+	}
+}
+
+func TestDecisionNeverRisksASecondRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &ffretry.Policy{Draw: rand.New(rand.NewPCG(1, 2)).Float64}
+		c := &ffconfig.Contract{Customer: "porter", RetryPercent: rapid.IntRange(0, 100).Draw(t, "retryPercent")}
+		call, err := drawCall(t), drawError(t)
+		attempt := rapid.IntRange(1, 6).Draw(t, "attempt")
+		d := p.Decide(c, call, err, attempt, epoch)
+		switch {
+		case d.Action == ffretry.ActionGiveUp:
+		case !epoch.Before(call.Deadline) || !d.At.Before(call.Deadline) || d.At.Before(epoch):
+			t.Fatalf("%+v lies past the deadline", d)
+		case err.Outcome == ffcall.OutcomeRan:
+			t.Fatalf("%+v after the call ran", d)
+		case d.Action == ffretry.ActionAskOutcome:
+			if call.Route.Idempotent || err.Outcome != ffcall.OutcomeUnknown {
+				t.Fatalf("%+v where the outcome need not be asked", d)
+			}
+		case !call.Route.Idempotent && err.Outcome != ffcall.OutcomeNotRun:
+			t.Fatalf("%+v may run a call twice", d)
+		case err.Kind == ffcall.KindLimit || c.RetryPercent == 0 || attempt >= 4:
+			t.Fatalf("%+v is not allowed", d)
+		case err.Kind == ffcall.KindOverload && (attempt >= 2 || !d.Elsewhere):
+			t.Fatalf("%+v adds to an overload", d)
+		}
+	})
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b ffretry.Budget
+		perCent := rapid.IntRange(1, 100).Draw(t, "perCent")
+		now, calls, spent := epoch, 0, 0
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "millis")) * time.Millisecond)
+			b.Earn(perCent)
+			calls++
+			for range rapid.IntRange(0, 3).Draw(t, "failures") {
+				if b.Spend(perCent, now) {
+					spent++
+				}
+			}
+		}
+		floor := 1 + now.Sub(epoch).Seconds()/10
+		if most := float64(calls*perCent)/100 + floor + 1e-6; float64(spent) > most {
+			t.Fatalf("%d extra attempts for %d calls, at most %.2f", spent, calls, most)
+		}
+	})
+}
+
+func TestQuietCustomerMayRetryItsFirstFailure(t *testing.T) {
+	p := &ffretry.Policy{}
+	c := &ffconfig.Contract{Customer: "porter", RetryPercent: 1}
+	call := &ffcall.Call{Route: &ffconfig.Route{Idempotent: true}, Deadline: epoch.Add(time.Second)}
+	err := ffcall.Refuse("forward", ffcall.KindLeaving, nil)
+	p.Called(c)
+	if d := p.Decide(c, call, err, 1, epoch); d.Action != ffretry.ActionRetry || !d.Elsewhere {
+		t.Fatalf("%+v after a first failure", d)
+	}
+	if d := p.Decide(c, call, err, 1, epoch); d.Reason != ffretry.ReasonBudget {
+		t.Fatalf("%+v beyond the budget", d)
+	}
+}
+
+func TestHedgeWaitsForAHighPercentileOfRecentLatencies(t *testing.T) {
+	p := &ffretry.Policy{}
+	c := &ffconfig.Contract{Customer: "appraiser", HedgePercent: 5}
+	call := &ffcall.Call{Route: &ffconfig.Route{Name: "lookup", Idempotent: true}, Deadline: epoch.Add(time.Hour)}
+	if _, ok := p.HedgeAt(c, call, epoch); ok {
+		t.Fatal("a hedge is planned though no latency is known")
+	}
+	observe := func(now time.Time, slow time.Duration) {
+		for i := range 1000 {
+			latency := 10 * time.Millisecond
+			if i%10 == 0 {
+				latency = slow
+			}
+			p.Observe("lookup", latency, now)
+		}
+	}
+	check := func(now time.Time, low, high time.Duration) {
+		t.Helper()
+		at, ok := p.HedgeAt(c, call, now)
+		if delay := at.Sub(now); !ok || delay < low || delay > high {
+			t.Fatalf("the hedge waits %s, want %s to %s", delay, low, high)
+		}
+	}
+	observe(epoch, 100*time.Millisecond)
+	observe(epoch.Add(11*time.Second), 100*time.Millisecond)
+	check(epoch, 90*time.Millisecond, 110*time.Millisecond)
+	for i := range 4 {
+		observe(epoch.Add(time.Duration(20+11*i)*time.Second), 20*time.Millisecond)
+	}
+	check(epoch, 18*time.Millisecond, 22*time.Millisecond)
+	call.Route.Idempotent = false
+	if _, ok := p.HedgeAt(c, call, epoch); ok {
+		t.Fatal("a hedge is planned for a call that is not idempotent")
+	}
+}
