--- a/internal/ffbalance/chooser.go
+++ b/internal/ffbalance/chooser.go
@@ -135,6 +135,9 @@
 	if epoch := c.epoch.Load(); epoch != nil {
 		return int64(now.Sub(*epoch))
 	}
-	c.epoch.CompareAndSwap(nil, &now)
+	c.start(now)
 	return 0
 }
+
+// start keeps the time of the first use.
+func (c *Chooser) start(now time.Time) { c.epoch.CompareAndSwap(nil, &now) }
--- a/internal/ffretry/policy_test.go
+++ b/internal/ffretry/policy_test.go
@@ -20,13 +20,14 @@
 	class := rapid.SampledFrom([]ffconfig.Class{ffconfig.ClassShort, ffconfig.ClassLong}).Draw(t, "class")
 	return &ffcall.Call{
 		Route:    &ffconfig.Route{Name: "lookup", Idempotent: rapid.Bool().Draw(t, "idempotent"), Class: class},
-		Deadline: epoch.Add(time.Duration(rapid.IntRange(-100, 500).Draw(t, "deadlineMillis")) * time.Millisecond),
+		Deadline: epoch.Add(time.Duration(rapid.IntRange(-5, 30).Draw(t, "deadlineMillis")) * time.Millisecond),
 	}
 }
 
 func drawError(t *rapid.T) *ffcall.Error {
+	kinds := rapid.OneOf(rapid.IntRange(0, int(ffcall.KindCancelled)), rapid.Just(int(ffcall.KindOverload)))
 	return &ffcall.Error{
-		Kind:    ffcall.Kind(rapid.IntRange(0, int(ffcall.KindCancelled)).Draw(t, "kind")),
+		Kind:    ffcall.Kind(kinds.Draw(t, "kind")),
 		Outcome: ffcall.Outcome(rapid.IntRange(0, int(ffcall.OutcomeNotRun)).Draw(t, "outcome")),
 		RetryAt: epoch.Add(time.Duration(rapid.IntRange(-100, 1000).Draw(t, "retryAtMillis")) * time.Millisecond),
 	}
@@ -105,7 +106,7 @@
 	observe := func(now time.Time, slow time.Duration) {
 		for i := range 1000 {
 			latency := 10 * time.Millisecond
-			if i%10 == 0 {
+			if i%2 == 0 {
 				latency = slow
 			}
 			p.Observe("lookup", latency, now)
