Limits: a burst within the contract is not refused for want of an ask

Found by the test of the exchange: 50 calls in a row at one daemon, with 1000 in the bucket, were refused from the 34th on, since a daemon asked at most every 100 ms. Now a call that lacks a token asks at once while the allocator had all that was asked for, for twice as much each time.

--- a/internal/fflimit/account.go
+++ b/internal/fflimit/account.go
@@ -17,6 +17,8 @@
 	lowWaterSeconds = 0.25
 	// permitHeadroom is the multiple of the permits in use that a daemon asks for.
 	permitHeadroom = 1.25
+	// maxSurge bounds the multiple of the expected calls that a daemon asks for.
+	maxSurge = 64
 )
 
 // account is what one daemon holds for one customer.
@@ -51,6 +53,9 @@
 	askAt time.Time
 	// exhausted tells that the last answer left a want unmet.
 	exhausted bool
+	// surge is the multiple of the expected calls to ask for; it doubles while
+	// tokens run out between two regular asks.
+	surge int
 }
 
 // place works out the parts again when the contract or the fleet has changed.
@@ -104,11 +109,20 @@
 	return ShortageNone
 }
 
-// wants reports whether an ask is due.
-func (a *account) wants(now time.Time) bool {
-	if !a.reachable || a.asking || now.Before(a.askAt) {
+// wants reports whether an ask is due. A call that lacks something need not wait
+// for the next time to ask while the allocator has had all that was asked for.
+func (a *account) wants(shortage Shortage, now time.Time) bool {
+	if !a.reachable || a.asking {
 		return false
 	}
+	if now.Before(a.askAt) {
+		if shortage == ShortageNone || a.exhausted {
+			return false
+		}
+		a.surge = min(2*a.surge, maxSurge)
+		return true
+	}
+	a.surge = 1
 	lasting := now.Before(a.grantedUntil.Add(-permitTerm / 2))
 	return !lasting || a.inUse >= a.permits(now) || a.tokens.left(now) < a.ahead(lowWaterSeconds, now)
 }
@@ -122,6 +136,7 @@
 // begin notes that an ask is under way.
 func (a *account) begin() {
 	a.asking = true
+	a.exhausted = false
 	a.answered = make(chan struct{})
 }
 
@@ -134,7 +149,7 @@
 		Cell:     a.cell,
 		Holder:   holder,
 		Seq:      a.seq,
-		Tokens:   max(a.ahead(horizonSeconds, now)-a.tokens.left(now), 0),
+		Tokens:   a.tokensWanted(now),
 		Permits:  a.permitsWanted(),
 		Demand:   a.calls.rate(now),
 	}
@@ -146,9 +161,14 @@
 	return q
 }
 
+func (a *account) tokensWanted(now time.Time) int {
+	most := max(a.contract.Burst, int(a.contract.RatePerSecond*horizonSeconds), 1)
+	return max(min(a.ahead(horizonSeconds, now)*a.surge, most)-a.tokens.left(now), 0)
+}
+
 func (a *account) permitsWanted() int {
 	busy := a.inUse + a.unmet
-	want := int(math.Ceil(float64(busy)*permitHeadroom)) + 1
+	want := (int(math.Ceil(float64(busy)*permitHeadroom)) + 1) * a.surge
 	return min(max(want-a.own.permits, 0), a.contract.Concurrency)
 }
 
--- a/internal/fflimit/allocation.go
+++ b/internal/fflimit/allocation.go
@@ -20,8 +20,8 @@
 	haste = 2
 )
 
-// loanWait is the time that a borrower leaves before it asks again a cell that has nothing.
-const loanWait = time.Second
+// maxLoanWait is the time that a borrower leaves before it asks again a cell that has nothing.
+const maxLoanWait = time.Second
 
 // allocation divides one cell's part of one contract. It takes values and a time
 // in and gives values out.
@@ -112,10 +112,7 @@
 // many holders together do not ask too often.
 func (a *allocation) wait(q Ask, r Answer, now time.Time) time.Duration {
 	if q.Loan {
-		if r.Tokens == 0 && r.Permits <= q.Holding {
-			return loanWait
-		}
-		return tradeInterval
+		return a.loanWait(q, r, now)
 	}
 	active := 0
 	for _, h := range a.holders {
@@ -127,6 +124,18 @@
 	return min(max(wait, minAskInterval), maxAskInterval)
 }
 
+// loanWait returns the time that a borrower shall leave before its next ask.
+func (a *allocation) loanWait(q Ask, r Answer, now time.Time) time.Duration {
+	if r.Tokens > 0 || r.Permits > q.Holding {
+		return tradeInterval
+	}
+	if q.Tokens == 0 || a.demand(now) > 0 {
+		return maxLoanWait
+	}
+	ready := a.bucket.readyAt(a.part.rate, now).Sub(now)
+	return min(max(ready, tradeInterval), maxLoanWait)
+}
+
 // grantTokens takes tokens for a holder out of the bucket.
 func (a *allocation) grantTokens(h *holder, want int, now time.Time) int {
 	depth := max(a.part.burst, a.part.rate*bucketSeconds, 1)
--- a/internal/fflimit/borrowed.go
+++ b/internal/fflimit/borrowed.go
@@ -194,7 +194,7 @@
 		return
 	}
 	l.asking = false
-	l.askAt = now.Add(loanWait)
+	l.askAt = now.Add(maxLoanWait)
 }
 
 func (b *borrowed) lender(cell string) *lender {
--- /dev/null
+++ b/internal/fflimit/exchange_test.go
@@ -0,0 +1,89 @@
+package fflimit
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+// fakePeers hands asks to the handlers of other daemons; one that is not known is silent.
+type fakePeers map[string]*Handler
+
+func (p fakePeers) AskLimits(ctx context.Context, vm ffmember.VM, req *ffprotocol.AskRequest) (*ffprotocol.AskResponse, error) {
+	if h := p[vm.Name]; h != nil {
+		return h.Ask(ctx, req)
+	}
+	<-ctx.Done()
+	return nil, merry.Wrap(ctx.Err())
+}
+
+// oneContract is a version with one contract.
+type oneContract struct{ contract *ffconfig.Contract }
+
+func (c oneContract) Contract(customer string) (*ffconfig.Contract, bool) {
+	return c.contract, customer == c.contract.Customer
+}
+
+func TestExchangeCarriesAsksToTheAllocator(t *testing.T) {
+	c := contract(1000, 1000, 1000)
+	w := newWorld(c, 1, 3, 1)
+	peers := fakePeers{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	long := time.Now().Add(-time.Hour)
+	for _, d := range w.daemons {
+		d.limiter = &Limiter{Holder: d.vm.Name}
+		d.limiter.SetFleet(NewFleet(d.vm.Name, d.vm.DataCentre, w.vms, w.vms), long)
+		peers[d.vm.Name] = &Handler{Limiter: d.limiter, Contracts: func() Contracts { return oneContract{c} }, Clock: time.Now}
+	}
+	for _, d := range w.daemons {
+		x := &Exchange{Limiter: d.limiter, Peers: peers, Clock: time.Now}
+		wg.Go(func() { x.Run(ctx) })
+	}
+	for _, d := range w.daemons {
+		for i := range 50 {
+			permit, err := d.limiter.Acquire(ctx, c, time.Now)
+			if err != nil {
+				t.Fatalf("call %d at %s: %v", i, d.vm.Name, err)
+			}
+			permit.Release()
+		}
+	}
+	cancel()
+	wg.Wait()
+}
+
+func TestSilentAllocatorLeavesTheStaticPart(t *testing.T) {
+	c := contract(100, 100, 100)
+	w := newWorld(c, 1, 2, 1)
+	other := 0
+	if w.allocatorOf("dc-0/0") == w.daemons[0] {
+		other = 1
+	}
+	l := &Limiter{Holder: "lone"}
+	l.SetFleet(NewFleet(w.vms[other].Name, "dc-0", w.vms, w.vms), time.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &Exchange{Limiter: l, Peers: fakePeers{}, Clock: time.Now}
+	var wg sync.WaitGroup
+	wg.Go(func() { x.Run(ctx) })
+	now := time.Now()
+	passed := 0
+	for range 100 {
+		if permit, err := l.Acquire(ctx, c, func() time.Time { return now }); err == nil {
+			passed++
+			permit.Release()
+		}
+	}
+	cancel()
+	wg.Wait()
+	if want := int(staticShare * 100 / 2); passed != want {
+		t.Fatalf("%d calls passed at once, the static part is %d", passed, want)
+	}
+}
--- a/internal/fflimit/limiter.go
+++ b/internal/fflimit/limiter.go
@@ -85,7 +85,7 @@
 // this daemon allocates, from what it grants itself at once.
 func (l *Limiter) pass(a *account, now time.Time) (Permit, *ffcall.Error) {
 	shortage := a.take(now)
-	if a.wants(now) && l.ask(a, now) && shortage != ShortageNone {
+	if a.wants(shortage, now) && l.ask(a, now) && shortage != ShortageNone {
 		shortage = a.take(now)
 	}
 	if shortage != ShortageNone {
