--- a/internal/ffgate/script_test.go
+++ b/internal/ffgate/script_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
 )
@@ -136,6 +137,8 @@
 	case "load":
 		l := s.gate.Load()
 		s.print(fmt.Sprintf("free %d short %d long %d", l.FreeSlots, l.QueuedShort, l.QueuedLong))
+	case "metric":
+		s.print(s.metric(t, args[0]))
 	case "drained":
 		s.print(strconv.Itoa(len(s.drained)))
 	default:
@@ -143,6 +146,26 @@
 	}
 }
 
+// metric returns the values of a metric in order of its labels.
+func (s *script) metric(t *testing.T, name string) string {
+	r := prometheus.NewPedanticRegistry()
+	r.MustRegister(s.gate)
+	families, err := r.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var values []string
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == name {
+				n := m.GetGauge().GetValue() + m.GetCounter().GetValue() + float64(m.GetHistogram().GetSampleCount())
+				values = append(values, fmt.Sprint(n))
+			}
+		}
+	}
+	return strings.Join(values, " ")
+}
+
 // callOf sends a call: an identifier, a route and fields such as customer=a.
 func (s *script) callOf(args []string) {
 	fields := map[string]string{"customer": "a", "timeout": "1s", "body": "x", "repeat": "1"}
