--- a/internal/ffdistribution/node.go
+++ b/internal/ffdistribution/node.go
@@ -75,6 +75,7 @@
 	rumours rumours
 	staged  staged
 	own     ownState
+	readers readers
 	counts  nodeCounts
 }
 
