Calls move off a VM that takes none without spending the retry budget

Cause: a call that a leaving VM refused as not run needed the customer's retry budget to go elsewhere; a contract without retries lost calls whenever a VM left. Such a refusal costs the target nothing, so it now spends nothing, for refusals as leaving, not ready, unreachable and version that are proved not run; attempts stay bounded.

Routes may change between versions: the forwarded call says whether its route is idempotent and which resource it needs, and a gate whose version says otherwise refuses it as not run.

--- a/internal/ffforward/convert.go
+++ b/internal/ffforward/convert.go
@@ -50,6 +50,8 @@
 		BodyChecksum:    xxhash.Sum64(c.Body),
 		Incarnation:     incarnation,
 		From:            from,
+		Idempotent:      c.Route.Idempotent,
+		Resource:        c.Route.Resource,
 	}
 }
 
--- a/internal/ffforward/server.go
+++ b/internal/ffforward/server.go
@@ -94,6 +94,9 @@
 	if !ok {
 		return nil, ffcall.Refuse("forward", ffcall.KindVersion, merry.Errorf("version %s lacks route %q", snapshot.Version(), r.GetRoute()))
 	}
+	if route.Idempotent != r.GetIdempotent() || route.Resource != r.GetResource() {
+		return nil, ffcall.Refuse("forward", ffcall.KindVersion, merry.Errorf("version %s has another route %q", snapshot.Version(), r.GetRoute()))
+	}
 	contract, ok := snapshot.Contract(r.GetCustomer())
 	if !ok || !contract.Allows(route.Name) {
 		return nil, ffcall.Refuse("forward", ffcall.KindVersion, merry.Errorf("version %s lacks route %q for customer %q", snapshot.Version(), r.GetRoute(), r.GetCustomer()))
--- a/internal/ffretry/policy.go
+++ b/internal/ffretry/policy.go
@@ -34,7 +34,7 @@
 
 // Decide tells what to do after an attempt failed with err. attempt is the
 // number of attempts made so far; the retry budget is spent when the decision
-// is to retry.
+// is to retry a call that has cost its target something.
 func (p *Policy) Decide(c *ffconfig.Contract, call *ffcall.Call, err error, attempt int, now time.Time) Decision {
 	if !now.Before(call.Deadline) {
 		return Decision{Reason: ReasonDeadline}
@@ -53,7 +53,7 @@
 	if !at.Before(call.Deadline) {
 		return Decision{Reason: ReasonDeadline}
 	}
-	if !budgetOf(&p.retries, c.Customer).Spend(c.RetryPercent, now) {
+	if !moves(outcome, kind) && !budgetOf(&p.retries, c.Customer).Spend(c.RetryPercent, now) {
 		return Decision{Reason: ReasonBudget}
 	}
 	return Decision{Action: ActionRetry, Reason: ReasonTransient, At: at, Elsewhere: elsewhere(kind)}
--- a/internal/ffretry/rule.go
+++ b/internal/ffretry/rule.go
@@ -35,6 +35,20 @@
 	return ReasonNone
 }
 
+// moves reports whether a VM that takes no call refused it. Another attempt adds
+// no load, and a VM that comes or goes must not cost a customer its call.
+func moves(outcome ffcall.Outcome, kind ffcall.Kind) bool {
+	if outcome != ffcall.OutcomeNotRun {
+		return false
+	}
+	switch kind {
+	case ffcall.KindLeaving, ffcall.KindNotReady, ffcall.KindUnreachable, ffcall.KindVersion:
+		return true
+	default:
+		return false
+	}
+}
+
 // elsewhere reports whether the same target would fail again. A target whose
 // daemon lacks the version may have it at the next attempt.
 func elsewhere(kind ffcall.Kind) bool { return kind != ffcall.KindVersion }
