Let a fleet that was paused as a whole go on serving

Cause: after a pause a daemon was ready only when the platform or a ready peer had answered.

A daemon that has a version in force asks for 3 s and then goes on with it, as one that is cut off without a pause does; one that starts has none and still waits.

At the start only peers that have the greatest version are pulled from: when the first of them failed, a lower version of the next could have come into force.

--- a/internal/ffdistribution/startup.go
+++ b/internal/ffdistribution/startup.go
@@ -44,11 +44,17 @@
 	}
 }
 
+// learnUntilKnown asks until somebody who knows has answered. A daemon that was
+// paused has a version in force: cut off from everybody it goes on with that one
+// after a time, as one that was not paused does.
 func (n *Node) learnUntilKnown(ctx context.Context) {
 	wait := newBackoff()
 	until := time.Now().Add(patience)
+	held := n.Store.Snapshot() != nil
+	lastChance := time.Now().Add(askTimeout)
 	for ctx.Err() == nil {
-		if n.learnRound(ctx, until) {
+		known := n.learnRound(ctx, until)
+		if known || (held && !time.Now().Before(lastChance)) {
 			n.renew(time.Now())
 			n.learnt.Store(true)
 			offer(n.news, news{})
@@ -218,6 +224,9 @@
 		if !n.Store.Wants(greatest) {
 			return nil
 		}
+		if versionIn(s.GetVersion()) != greatest {
+			break
+		}
 		err = n.pull(ctx, hint{address: s.GetPeerAddress(), foreign: s.GetDataCentre() != n.Self.DataCentre})
 		if err != nil && ctx.Err() != nil {
 			return err
