Decode only what a version changes

Each change decoded every piece and hashed every kept one again, and decoded the manifest twice or three times.

--- a/internal/ffdistribution/fake_test.go
+++ b/internal/ffdistribution/fake_test.go
@@ -72,6 +72,33 @@
 	return r
 }
 
+// newAmendedRelease returns a release with many routes of which only the first changes with the number.
+func newAmendedRelease(number uint64, routes int) release {
+	r := newLargeRelease(1, "a", false, routes)
+	m, _, err := ffconfig.DecodeManifest(r.manifest)
+	if err != nil {
+		panic(err)
+	}
+	m.Number = number
+	for i, p := range m.Pieces {
+		if p.Kind != ffconfig.PieceRoute || p.Name != "book" {
+			continue
+		}
+		route := ffconfig.Route{Name: "book", Method: "POST", Path: "/book", Service: "desk-1-a", Resource: "trolleys", TimeoutMillis: int64(number)}
+		ref, content, err := ffconfig.EncodePiece(p.Kind, p.Name, route)
+		if err != nil {
+			panic(err)
+		}
+		m.Pieces[i] = ref
+		r.pieces[ref.Digest] = content
+	}
+	if r.manifest, err = m.Encode(); err != nil {
+		panic(err)
+	}
+	r.version = ffconfig.Version{Number: number, Digest: ffconfig.DigestOf(r.manifest)}
+	return r
+}
+
 // platform is a fake platform: a manifest, pieces and a list of VMs, with faults.
 type platform struct {
 	mu       sync.Mutex
--- a/internal/ffdistribution/fetch.go
+++ b/internal/ffdistribution/fetch.go
@@ -37,7 +37,8 @@
 func (n *Node) newFetch(m ffconfig.Manifest) *fetch {
 	f := &fetch{n: n, refs: m.Pieces, have: make(map[ffconfig.Digest][]byte, len(m.Pieces))}
 	for _, p := range m.Pieces {
-		if content, ok := n.piece(p.Digest); ok && p.Check(content) == nil {
+		// What is kept was checked when it came, so it is not hashed again.
+		if content, ok := n.piece(p.Digest); ok && len(content) == p.Size {
 			f.have[p.Digest] = content
 		}
 	}
--- a/internal/ffdistribution/pull.go
+++ b/internal/ffdistribution/pull.go
@@ -81,30 +81,38 @@
 // pull brings the version that the peer has in force into force here.
 func (n *Node) pull(ctx context.Context, h hint) error {
 	n.counts.pulls.Add(1)
-	manifest, err := n.manifestFrom(ctx, h.address)
+	e, err := n.manifestFrom(ctx, h.address)
 	if err != nil {
 		return err
 	}
-	return n.complete(ctx, manifest, origin{peer: h.address, foreign: h.foreign})
+	return n.complete(ctx, e, origin{peer: h.address, foreign: h.foreign})
 }
 
-// manifestFrom returns the encoded manifest that the peer has in force.
-func (n *Node) manifestFrom(ctx context.Context, address string) ([]byte, error) {
+// manifestFrom returns the manifest that the peer has in force.
+func (n *Node) manifestFrom(ctx context.Context, address string) (encoded, error) {
 	out, err := n.askManifest(ctx, address, false)
 	if err != nil {
-		return nil, err
+		return encoded{}, err
 	}
 	if out.GetBase() == nil {
-		return out.GetWhole(), nil
+		return decodeManifest(out.GetWhole())
 	}
-	if manifest, ok := n.rebuild(out); ok {
-		return manifest, nil
+	if e, ok := n.rebuild(out); ok {
+		return e, nil
 	}
 	out, err = n.askManifest(ctx, address, true)
 	if err != nil {
-		return nil, err
+		return encoded{}, err
 	}
-	return out.GetWhole(), nil
+	return decodeManifest(out.GetWhole())
+}
+
+func decodeManifest(content []byte) (encoded, error) {
+	m, v, err := ffconfig.DecodeManifest(content)
+	if err != nil {
+		return encoded{}, &Error{Op: "decode manifest", Kind: KindCorrupt, Err: err}
+	}
+	return encoded{manifest: m, version: v, content: content}, nil
 }
 
 func (n *Node) askManifest(ctx context.Context, address string, whole bool) (*ffprotocol.ManifestResponse, error) {
@@ -125,18 +133,19 @@
 
 // rebuild returns the manifest that a difference makes of the one in force, and
 // false when the result is not the version that the peer has.
-func (n *Node) rebuild(out *ffprotocol.ManifestResponse) ([]byte, bool) {
+func (n *Node) rebuild(out *ffprotocol.ManifestResponse) (encoded, bool) {
 	snapshot := n.Store.Snapshot()
 	if snapshot == nil || snapshot.Version() != versionIn(out.GetBase()) {
-		return nil, false
+		return encoded{}, false
 	}
 	want := versionIn(out.GetFrom().GetVersion())
 	change := step{put: refsIn(out.GetPut()), removed: refsIn(out.GetRemoved())}
-	manifest, err := change.changed(snapshot.Manifest(), want.Number)
-	if err != nil || ffconfig.DigestOf(manifest) != want.Digest {
-		return nil, false
+	m := change.changed(snapshot.Manifest(), want.Number)
+	content, err := m.Encode()
+	if err != nil || ffconfig.DigestOf(content) != want.Digest {
+		return encoded{}, false
 	}
-	return manifest, true
+	return encoded{manifest: m, version: want, content: content}, true
 }
 
 // origin tells where a manifest came from.
@@ -148,23 +157,19 @@
 }
 
 // complete fetches what this daemon lacks of a version and puts it in force.
-func (n *Node) complete(ctx context.Context, manifest []byte, from origin) error {
-	m, v, err := ffconfig.DecodeManifest(manifest)
-	if err != nil {
-		return &Error{Op: "pull", Kind: KindCorrupt, Err: err}
-	}
-	n.Store.Observe(v)
-	if !n.Store.Wants(v) {
+func (n *Node) complete(ctx context.Context, e encoded, from origin) error {
+	n.Store.Observe(e.version)
+	if !n.Store.Wants(e.version) {
 		return nil
 	}
-	if size := totalSize(m); size > MaxVersionBytes {
-		return n.Store.Apply(manifest, nil)
+	if size := totalSize(e.manifest); size > MaxVersionBytes {
+		return n.Store.apply(e, nil)
 	}
-	f := n.newFetch(m)
+	f := n.newFetch(e.manifest)
 	if err := f.run(ctx, from); err != nil {
 		return err
 	}
-	err = n.Store.Apply(manifest, f.have)
+	err := n.Store.apply(e, f.have)
 	if KindOf(err) == KindOlder {
 		return nil
 	}
--- a/internal/ffdistribution/reader.go
+++ b/internal/ffdistribution/reader.go
@@ -83,21 +83,21 @@
 // accept brings a manifest of the platform into force if it is newer.
 func (r *manifestReader) accept(ctx context.Context, value ffplatform.Value) error {
 	store := r.n.Store
-	_, v, err := ffconfig.DecodeManifest(value.Content)
+	e, err := decodeManifest(value.Content)
 	if err != nil {
 		store.RefuseFromPlatform(ffconfig.Version{Digest: ffconfig.DigestOf(value.Content)}, value.Revision, err)
 		return nil
 	}
-	store.Observe(v)
-	if !store.WantsFromPlatform(v, value.Revision) {
+	store.Observe(e.version)
+	if !store.WantsFromPlatform(e.version, value.Revision) {
 		return nil
 	}
-	err = r.n.complete(ctx, value.Content, origin{foreign: true})
+	err = r.n.complete(ctx, e, origin{foreign: true})
 	if KindOf(err) == KindRefused {
 		return nil
 	}
-	if KindOf(err) == KindCorrupt && r.giveUp(v) {
-		store.RefuseFromPlatform(v, value.Revision, err)
+	if KindOf(err) == KindCorrupt && r.giveUp(e.version) {
+		store.RefuseFromPlatform(e.version, value.Revision, err)
 		return nil
 	}
 	return err
--- a/internal/ffdistribution/startup.go
+++ b/internal/ffdistribution/startup.go
@@ -197,20 +197,20 @@
 	if len(a.peers) > 0 {
 		greatest = versionIn(a.peers[0].GetVersion())
 	}
-	_, published, err := ffconfig.DecodeManifest(a.manifest)
-	if err == nil && published.NewerThan(greatest) {
-		return n.takePublished(ctx, a)
+	published, err := decodeManifest(a.manifest)
+	if err == nil && published.version.NewerThan(greatest) {
+		return n.takePublished(ctx, a, published)
 	}
 	return n.takeFromPeers(ctx, a, greatest)
 }
 
 // takePublished takes the platform's version; when that cannot be had whole, the
 // greatest that a peer has in force counts.
-func (n *Node) takePublished(ctx context.Context, a *answers) error {
+func (n *Node) takePublished(ctx context.Context, a *answers, published encoded) error {
 	if a.patient && len(a.peers) == 0 {
 		return errPatient
 	}
-	err := n.complete(ctx, a.manifest, origin{foreign: true})
+	err := n.complete(ctx, published, origin{foreign: true})
 	if err == nil || len(a.peers) == 0 {
 		return err
 	}
--- a/internal/ffdistribution/store.go
+++ b/internal/ffdistribution/store.go
@@ -96,31 +96,44 @@
 // Apply puts a version in force when it is newer and whole, and returns an error
 // otherwise. A fault in its content is final: the version is refused for good.
 func (s *Store) Apply(manifest []byte, pieces map[ffconfig.Digest][]byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m, v, err := ffconfig.DecodeManifest(manifest)
+	e, err := decodeManifest(manifest)
 	if err != nil {
-		return &Error{Op: "apply", Kind: KindCorrupt, Err: err}
+		return err
 	}
+	return s.apply(e, pieces)
+}
+
+// encoded is a manifest with its encoding and the version that it stands for.
+type encoded struct {
+	manifest ffconfig.Manifest
+	version  ffconfig.Version
+	content  []byte
+}
+
+func (s *Store) apply(e encoded, pieces map[ffconfig.Digest][]byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := e.version
 	if !v.NewerThan(s.Version()) {
 		return &Error{Op: "apply", Kind: KindOlder, Err: merry.Errorf("%v is not newer than %v", v, s.Version())}
 	}
 	if slices.Contains(s.refused, refusal{version: v, final: true}) {
 		return &Error{Op: "apply", Kind: KindRefused, Err: merry.Errorf("%v was refused before", v)}
 	}
-	snapshot, err := newSnapshot(m, v, pieces)
+	snapshot, err := s.next(e, pieces)
 	if err != nil {
 		return s.fault(v, err)
 	}
-	s.swap(snapshot, manifest, pieces)
+	s.swap(snapshot, e.content, pieces)
 	return nil
 }
 
-func newSnapshot(m ffconfig.Manifest, v ffconfig.Version, pieces map[ffconfig.Digest][]byte) (*ffconfig.Snapshot, error) {
-	if size := totalSize(m); size > MaxVersionBytes {
+// next returns the snapshot of a version, which takes over what the one in force has decoded.
+func (s *Store) next(e encoded, pieces map[ffconfig.Digest][]byte) (*ffconfig.Snapshot, error) {
+	if size := totalSize(e.manifest); size > MaxVersionBytes {
 		return nil, &ffconfig.Error{Op: "apply", Kind: ffconfig.KindTooLarge, Err: merry.Errorf("%d bytes of pieces, at most %d", size, MaxVersionBytes)}
 	}
-	return ffconfig.NewSnapshot(m, v, pieces)
+	return s.Snapshot().Next(e.manifest, e.version, pieces)
 }
 
 func totalSize(m ffconfig.Manifest) int {
