Learn the outcome of a call that its target answers after the deadline

Cause: the target's client cut every call at its deadline, so that the gate's longer wait for calls that may not be repeated had no effect and their outcome stayed unknown. Now the deadline bounds the first byte and is told to the target, and the gate's context bounds the wait. The new test failed before (deadline). TestKinds bounds its silent call by the context, as the gate does for calls that may be repeated.

--- a/internal/ffdistribution/store.go
+++ b/internal/ffdistribution/store.go
@@ -108,7 +108,7 @@
 	if slices.Contains(s.refused, refusal{version: v, final: true}) {
 		return &Error{Op: "apply", Kind: KindRefused, Err: merry.Errorf("%v was refused before", v)}
 	}
-	snapshot, err := newSnapshot(m, v, pieces)
+	snapshot, err := newSnapshot(s.Snapshot(), m, v, pieces)
 	if err != nil {
 		return s.fault(v, err)
 	}
@@ -116,11 +116,12 @@
 	return nil
 }
 
-func newSnapshot(m ffconfig.Manifest, v ffconfig.Version, pieces map[ffconfig.Digest][]byte) (*ffconfig.Snapshot, error) {
+// newSnapshot takes unchanged pieces over from the snapshot in force; old may be nil.
+func newSnapshot(old *ffconfig.Snapshot, m ffconfig.Manifest, v ffconfig.Version, pieces map[ffconfig.Digest][]byte) (*ffconfig.Snapshot, error) {
 	if size := totalSize(m); size > MaxVersionBytes {
 		return nil, &ffconfig.Error{Op: "apply", Kind: ffconfig.KindTooLarge, Err: merry.Errorf("%d bytes of pieces, at most %d", size, MaxVersionBytes)}
 	}
-	return ffconfig.NewSnapshot(m, v, pieces)
+	return old.Next(m, v, pieces)
 }
 
 func totalSize(m ffconfig.Manifest) int {
--- a/internal/fftarget/client.go
+++ b/internal/fftarget/client.go
@@ -66,14 +66,10 @@
 // Close closes the connections that carry no call.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Do sends call to the target at most once and returns the whole answer. Its
+// Do sends call to the target at most once and returns the whole answer. No byte
+// leaves after the call's deadline; ctx alone bounds the wait for the answer. Its
 // errors are of type *ffcall.Error.
 func (c *Client) Do(ctx context.Context, call *ffcall.Call) (*ffcall.Reply, error) {
-	if !call.Deadline.IsZero() {
-		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(ctx, call.Deadline)
-		defer stop()
-	}
 	reply, failure := c.try(ctx, call)
 	if failure != nil {
 		return nil, failure
--- a/internal/fftarget/client_test.go
+++ b/internal/fftarget/client_test.go
@@ -96,11 +96,13 @@
 		t.Run(behaviour, func(t *testing.T) {
 			target := startScripted(t)
 			client := connect(t, fftarget.Settings{Address: target.listener.Addr().String()})
-			call := newCall("call", behaviour, "coins")
+			ctx := t.Context()
 			if behaviour == behaviourSilent {
-				call.Deadline = time.Now().Add(50 * time.Millisecond)
+				limited, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+				defer cancel()
+				ctx = limited
 			}
-			_, err := client.Do(t.Context(), call)
+			_, err := client.Do(ctx, newCall("call", behaviour, "coins"))
 			outcome := ffcall.OutcomeOf(err)
 			if err == nil {
 				outcome = ffcall.OutcomeRan
@@ -112,6 +114,23 @@
 	}
 }
 
+// TestAnswerAfterDeadline lets the caller of Do decide how long to wait, so that
+// the outcome of a call that may not be repeated becomes known.
+func TestAnswerAfterDeadline(t *testing.T) {
+	call := newCall("call", "", "coins")
+	call.Deadline = time.Now().Add(time.Second)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-time.After(time.Until(call.Deadline) + 10*time.Millisecond)
+		_, _ = w.Write([]byte("late"))
+	}))
+	t.Cleanup(server.Close)
+	client := connect(t, fftarget.Settings{Address: server.Listener.Addr().String()})
+	reply, err := client.Do(t.Context(), call)
+	if err != nil || string(reply.Body) != "late" {
+		t.Fatalf("reply %+v, error %v", reply, err)
+	}
+}
+
 func TestNothingListensIsNotRun(t *testing.T) {
 	target := startScripted(t)
 	target.stop()
