Soak of a whole deployment, with a checker of every promise

fireflyload soak runs a deployment as processes with relays, sends open-loop load in which each call has its own key in the path that its target records, publishes versions (amended, moved, removed, rolled back, corrupt, dangling, racing) and injects faults drawn from the seed. The checks are functions of the record alone and judge each promise held, broken or not exercised. Additive in shared packages: ffdeployment.Node.StartTarget is exported, ffgenerator.Stream has Vary and GiveUp, ffgenerator.Call its request.

--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -171,7 +171,7 @@
 	for _, n := range nodes {
 		g.Go(func() error {
 			if !d.plan.WithoutTargets {
-				if err := n.startTarget(ctx); err != nil {
+				if err := n.StartTarget(ctx); err != nil {
 					return err
 				}
 			}
--- a/internal/ffdeployment/node.go
+++ b/internal/ffdeployment/node.go
@@ -44,8 +44,8 @@
 // data centre share it.
 func (n *Node) Source() netip.Addr { return n.source }
 
-// startTarget starts the target's process.
-func (n *Node) startTarget(ctx context.Context) error {
+// StartTarget starts the target's process.
+func (n *Node) StartTarget(ctx context.Context) error {
 	args := []string{"target", "--name", n.VM.Name, "--listen", n.ports.target, "--control", n.ports.targetControl}
 	if n.deployment.plan.Targets != nil {
 		args = append(args, n.deployment.plan.Targets(n.VM)...)
--- a/internal/ffgenerator/generator.go
+++ b/internal/ffgenerator/generator.go
@@ -67,6 +67,7 @@
 	slots  chan struct{}
 	keep   bool
 	seed   uint64
+	count  uint64
 	calls  sync.WaitGroup
 }
 
@@ -91,25 +92,32 @@
 		return
 	}
 	l.result.sent()
-	c := &call{sender: l, at: at}
+	l.count++
+	c := &call{sender: l, at: at, request: l.stream.request(l.count)}
 	l.calls.Go(func() { c.run(ctx) })
 }
 
 // call is one call in flight.
 type call struct {
-	sender *sender
-	at     time.Time
+	sender  *sender
+	at      time.Time
+	request ffclient.Request
 }
 
 // run sends the call and records what became of it.
 func (c *call) run(ctx context.Context) {
 	defer func() { <-c.sender.slots }()
 	s := c.sender.stream
-	done := Call{Stream: s.Name, Started: c.at}
+	if s.GiveUp > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, c.at.Add(s.GiveUp))
+		defer cancel()
+	}
+	done := Call{Stream: s.Name, Started: c.at, Request: c.request}
 	if s.Once != "" {
-		done.Answer, done.Err = s.Client.DoOnce(ctx, s.Once, s.Request)
+		done.Answer, done.Err = s.Client.DoOnce(ctx, s.Once, c.request)
 	} else {
-		done.Answer, done.Err = s.Client.Do(ctx, s.Request)
+		done.Answer, done.Err = s.Client.Do(ctx, c.request)
 	}
 	if s.Direct && done.Answer != nil && done.Answer.Status == http.StatusOK {
 		done.Answer.Outcome = ffclient.OutcomeRan
--- a/internal/ffgenerator/result.go
+++ b/internal/ffgenerator/result.go
@@ -44,7 +44,7 @@
 	Stream  string
 	Started time.Time
 	Ended   time.Time
-	Token   string
+	Request ffclient.Request
 	Answer  *ffclient.Answer
 	Err     error
 }
--- a/internal/ffgenerator/stream.go
+++ b/internal/ffgenerator/stream.go
@@ -15,6 +15,11 @@
 	Client *ffclient.Client
 	// Request is what each call sends.
 	Request ffclient.Request
+	// Vary returns what the n-th call of the stream sends, counted from 1, when
+	// the calls differ; nil when all send Request.
+	Vary func(n uint64, r ffclient.Request) ffclient.Request
+	// GiveUp is how long after its start a call is cancelled; never when zero.
+	GiveUp time.Duration
 	// Rate is the number of calls a second.
 	Rate float64
 	// Once names the route when each call is sent with a token until its outcome
@@ -30,6 +35,14 @@
 	Start, Stop time.Duration
 }
 
+// request returns what the n-th call sends.
+func (s Stream) request(n uint64) ffclient.Request {
+	if s.Vary == nil {
+		return s.Request
+	}
+	return s.Vary(n, s.Request)
+}
+
 // arrivals gives the start times of the calls of a stream, as a Poisson process.
 type arrivals struct {
 	rate   float64
--- /dev/null
+++ b/internal/ffload/soak.go
@@ -0,0 +1,66 @@
+package ffload
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffsoak"
+)
+
+// Soak runs a deployment under load, new versions and faults, and judges every promise.
+type Soak struct {
+	Deployment string        `arg:"--deployment,required" placeholder:"NAME" help:"sicily or ulaanbaatar"`
+	Seed       uint64        `arg:"--seed" default:"1" help:"seed of faults, versions and start times"`
+	For        time.Duration `arg:"--for" default:"60s" help:"length of the load"`
+	PerService int           `arg:"--per-service" default:"2" help:"VMs of each service in each data centre; 0 for all"`
+	Examples   string        `arg:"--examples" default:"examples" help:"directory of the deployments"`
+	Record     string        `arg:"--record" placeholder:"FILE" help:"file for everything that was seen, as JSON"`
+	Schedule   bool          `arg:"--schedule" help:"print the schedule of faults and versions, and run nothing"`
+}
+
+// Run soaks the deployment, prints its report as one JSON line, and fails when a
+// promise is broken.
+func (c *Soak) Run(ctx context.Context, out io.Writer) error {
+	directory, err := os.MkdirTemp("", "fireflyfall-soak-")
+	if err != nil {
+		return &Error{Op: "soak", Kind: KindFile, Err: err}
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	setup := ffsoak.Setup{
+		Deployment: c.Deployment, Examples: c.Examples, Seed: c.Seed, For: c.For, PerService: c.PerService, Directory: directory,
+	}
+	if c.Schedule {
+		return c.printSchedule(setup, out)
+	}
+	record, err := ffsoak.Run(ctx, setup)
+	if err != nil {
+		return err
+	}
+	if c.Record != "" {
+		if err := record.Write(c.Record); err != nil {
+			return err
+		}
+	}
+	report := ffsoak.Judge(record)
+	if err := json.NewEncoder(out).Encode(report); err != nil {
+		return err
+	}
+	if report.Broken() {
+		report.WriteTraces(os.Stderr)
+		return &Error{Op: "soak", Kind: KindBroken, Err: merry.New("a promise is broken")}
+	}
+	return nil
+}
+
+func (c *Soak) printSchedule(setup ffsoak.Setup, out io.Writer) error {
+	_, schedule, err := ffsoak.Plan(setup)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(out).Encode(schedule)
+}
--- /dev/null
+++ b/internal/ffsoak/change.go
@@ -0,0 +1,89 @@
+package ffsoak
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+// ChangeKind tells how a version differs from the one before.
+type ChangeKind int
+
+// Kinds of change.
+const (
+	ChangeAmend    ChangeKind = iota // amend
+	ChangeMove                       // move
+	ChangeRemove                     // remove
+	ChangeRollBack                   // rollBack
+	ChangeCorrupt                    // corrupt
+	ChangeDangling                   // dangling
+	ChangeRace                       // race
+	changeKinds                      // changeKinds
+)
+
+// MarshalText returns the name of k.
+func (k ChangeKind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText sets k from its name.
+func (k *ChangeKind) UnmarshalText(text []byte) error {
+	for known := range changeKinds {
+		if known.String() == string(text) {
+			*k = known
+			return nil
+		}
+	}
+	return merry.Errorf("%q is not a kind of change", text)
+}
+
+// Change is one publication of the schedule.
+type Change struct {
+	Kind ChangeKind `json:"kind"`
+	// AtMillis is the time of the publication, from the start of the load.
+	AtMillis int64 `json:"atMillis"`
+}
+
+// Publication is a version that the operators published.
+type Publication struct {
+	Kind    ChangeKind       `json:"kind"`
+	Version ffconfig.Version `json:"version"`
+	At      time.Time        `json:"at"`
+	// Faulty tells that no daemon may put the version in force.
+	Faulty bool `json:"faulty,omitempty"`
+	// Races tells that another version with the same number was published with it.
+	Races    bool               `json:"races,omitempty"`
+	Routes   []ffconfig.Route   `json:"routes"`
+	Services []ffconfig.Service `json:"services"`
+	// Allowed names the routes of each customer.
+	Allowed map[string][]string `json:"allowed"`
+}
+
+const (
+	// changeSpacing is the time of load for each change.
+	changeSpacing = 1500 * time.Millisecond
+	// lastChanges are the parts of the length, in percent, at which the two last
+	// versions are published, after all faults have ended.
+	beforeLastChange = 80
+	lastChange       = 88
+)
+
+// drawChanges returns the publications of a soak; the first half of the kinds
+// come in a drawn order, and the two last are whole.
+func drawChanges(random *rand.Rand, length time.Duration) []Change {
+	n := int(length * 3 / 4 / changeSpacing)
+	var changes []Change
+	var order []int
+	for i := range n {
+		if len(order) == 0 {
+			order = random.Perm(int(changeKinds))
+		}
+		at := changeSpacing * time.Duration(i+1)
+		changes = append(changes, Change{Kind: ChangeKind(order[0]), AtMillis: at.Milliseconds()})
+		order = order[1:]
+	}
+	return append(changes,
+		Change{Kind: ChangeMove, AtMillis: (length * beforeLastChange / 100).Milliseconds()},
+		Change{Kind: ChangeAmend, AtMillis: (length * lastChange / 100).Milliseconds()})
+}
--- /dev/null
+++ b/internal/ffsoak/check_test.go
@@ -0,0 +1,70 @@
+package ffsoak
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// checkCase is a small record with what the check of one promise must find.
+type checkCase struct {
+	Promise string `json:"promise"`
+	Verdict string `json:"verdict"`
+	// Trace is a part of the first line of the evidence.
+	Trace  string `json:"trace"`
+	Record Record `json:"record"`
+}
+
+// TestChecks judges the records in testdata; each promise has some that break it.
+func TestChecks(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	broken := make(map[string]bool)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			c := readCase(t, path)
+			f := findingOf(t, c)
+			if f.Verdict.String() != c.Verdict {
+				t.Fatalf("%s is %s, wanted is %s; trace %q", c.Promise, f.Verdict, c.Verdict, f.Trace)
+			}
+			if f.Verdict != VerdictBroken {
+				return
+			}
+			broken[c.Promise] = true
+			if c.Trace == "" || !strings.Contains(f.Trace[0], c.Trace) {
+				t.Fatalf("trace %q does not tell %q", f.Trace, c.Trace)
+			}
+		})
+	}
+	for p := PromiseNeverOlder; p <= PromiseConvergence; p++ {
+		if !broken[p.String()] {
+			t.Errorf("no record breaks %s", p)
+		}
+	}
+}
+
+func readCase(t *testing.T, path string) checkCase {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var c checkCase
+	if err := json.Unmarshal(content, &c); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func findingOf(t *testing.T, c checkCase) Finding {
+	for _, f := range Judge(&c.Record).findings {
+		if f.Promise.String() == c.Promise {
+			return f
+		}
+	}
+	t.Fatalf("no check of %s", c.Promise)
+	return Finding{}
+}
--- /dev/null
+++ b/internal/ffsoak/injector.go
@@ -0,0 +1,225 @@
+package ffsoak
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"fireflyfall.dev/fireflyfall/internal/ffdeployment"
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffrelay"
+	"fireflyfall.dev/fireflyfall/internal/ffstand"
+)
+
+const (
+	// stopTimeout bounds a planned stop.
+	stopTimeout = 45 * time.Second
+	// slowFactor multiplies the service times of a slowed target.
+	slowFactor = 10
+	// platformDelay is added to each request to a slow platform.
+	platformDelay = 400 * time.Millisecond
+)
+
+// injector brings the faults of a schedule about and heals them.
+type injector struct {
+	deployment *ffdeployment.Deployment
+	lives      *lives
+
+	mu       sync.Mutex
+	injected []Injected
+}
+
+// run injects all faults, each at its time, and returns when all are healed.
+func (j *injector) run(ctx context.Context, start time.Time, faults []Fault) error {
+	var g errgroup.Group
+	for _, f := range faults {
+		a := &injection{injector: j, fault: Injected{Fault: f}}
+		g.Go(func() error { return a.run(ctx, start) })
+	}
+	return g.Wait()
+}
+
+// injection is one fault on its way.
+type injection struct {
+	injector *injector
+	fault    Injected
+	stopped  chan error
+}
+
+func (a *injection) run(ctx context.Context, start time.Time) error {
+	if !sleepUntil(ctx, start.Add(time.Duration(a.fault.AtMillis)*time.Millisecond)) {
+		return nil
+	}
+	if a.fault.Kind.ofProcess() {
+		defer a.injector.lives.reserve(a.fault.VMs)()
+	}
+	until := start.Add(time.Duration(a.fault.UntilMillis) * time.Millisecond)
+	if !time.Now().Before(until) {
+		return nil
+	}
+	a.fault.Began = time.Now()
+	if err := a.begin(ctx); err != nil {
+		return &Error{Op: "begin " + a.fault.String(), Kind: ErrorFault, Err: err}
+	}
+	sleepUntil(ctx, until)
+	if err := a.heal(ctx); err != nil {
+		return &Error{Op: "heal " + a.fault.String(), Kind: ErrorFault, Err: err}
+	}
+	a.fault.Ended = time.Now()
+	a.injector.mu.Lock()
+	defer a.injector.mu.Unlock()
+	a.injector.injected = append(a.injector.injected, a.fault)
+	return nil
+}
+
+func (a *injection) begin(ctx context.Context) error {
+	switch a.fault.Kind {
+	case FaultPlannedStop:
+		return a.stop(ctx)
+	case FaultKillOne, FaultKillHerd, FaultKillDataCentre:
+		return a.each(func(n *ffdeployment.Node) error { return a.injector.lives.kill(n) })
+	case FaultFreeze:
+		return a.each(func(n *ffdeployment.Node) error { return n.Daemon.Freeze() })
+	case FaultListedLeaving:
+		return a.injector.deployment.Platform.SetVMState(ctx, a.fault.VMs[0], ffmember.StateLeaving)
+	case FaultTargetSlow:
+		return a.each(func(n *ffdeployment.Node) error {
+			return n.Target.SetState(ctx, ffstand.TargetState{SlowFactor: slowFactor})
+		})
+	case FaultTargetCrash:
+		return a.each(func(n *ffdeployment.Node) error { return n.TargetProcess.Kill() })
+	default:
+		return a.setFault(ctx, true)
+	}
+}
+
+func (a *injection) heal(ctx context.Context) error {
+	switch a.fault.Kind {
+	case FaultPlannedStop:
+		return a.replace(ctx)
+	case FaultKillOne, FaultKillHerd, FaultKillDataCentre:
+		return a.each(func(n *ffdeployment.Node) error { return a.injector.lives.start(ctx, n) })
+	case FaultFreeze:
+		return a.each(func(n *ffdeployment.Node) error { return n.Daemon.Wake() })
+	case FaultListedLeaving:
+		return a.injector.deployment.Platform.SetVMState(ctx, a.fault.VMs[0], ffmember.StateLive)
+	case FaultTargetSlow:
+		return a.each(func(n *ffdeployment.Node) error { return n.Target.SetState(ctx, ffstand.TargetState{}) })
+	case FaultTargetCrash:
+		return a.each(func(n *ffdeployment.Node) error { return n.StartTarget(ctx) })
+	default:
+		return a.setFault(ctx, false)
+	}
+}
+
+// each applies something to every VM of the fault at once.
+func (a *injection) each(apply func(*ffdeployment.Node) error) error {
+	var g errgroup.Group
+	for _, n := range a.injector.deployment.Nodes {
+		for _, vm := range a.fault.VMs {
+			if n.VM.Name == vm {
+				g.Go(func() error { return apply(n) })
+			}
+		}
+	}
+	return g.Wait()
+}
+
+// stop asks a daemon to end; the platform lists its VM as leaving, late.
+func (a *injection) stop(ctx context.Context) error {
+	a.stopped = make(chan error, 1)
+	return a.each(func(n *ffdeployment.Node) error {
+		go a.runStop(ctx, n)
+		return a.injector.deployment.Platform.SetVMState(ctx, n.VM.Name, ffmember.StateLeaving)
+	})
+}
+
+func (a *injection) runStop(ctx context.Context, n *ffdeployment.Node) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	err := n.Daemon.Stop(ctx)
+	a.fault.Stopped = time.Now()
+	a.injector.lives.ended(n.VM.Name, a.fault.Stopped)
+	a.stopped <- err
+}
+
+// replace starts the daemon of a planned stop again, as a new VM of the same name.
+func (a *injection) replace(ctx context.Context) error {
+	if err := <-a.stopped; err != nil {
+		a.fault.Failure = err.Error()
+	}
+	return a.each(func(n *ffdeployment.Node) error {
+		if err := a.injector.deployment.Platform.SetVMState(ctx, n.VM.Name, ffmember.StateLive); err != nil {
+			return err
+		}
+		return a.injector.lives.start(ctx, n)
+	})
+}
+
+// setFault sets or ends a fault of the platform or of relays.
+func (a *injection) setFault(ctx context.Context, on bool) error {
+	d := a.injector.deployment
+	switch a.fault.Kind {
+	case FaultCut:
+		return d.Partition(a.fault.From, fault(on, ffrelay.FaultCut, 0))
+	case FaultCutOneWay:
+		return d.SetLink(a.fault.From, a.fault.To, fault(on, ffrelay.FaultCut, 0))
+	case FaultSilentWay:
+		return d.SetLink(a.fault.From, a.fault.To, fault(on, ffrelay.FaultSilent, ffrelay.DirectionUpstream))
+	case FaultPlatformCut:
+		return d.PlatformRelay(a.fault.From).SetFault(fault(on, ffrelay.FaultCut, 0))
+	case FaultSilentTarget:
+		return a.each(func(n *ffdeployment.Node) error { return n.TargetLink.SetFault(fault(on, ffrelay.FaultSilentOpen, 0)) })
+	case FaultSilentForward:
+		return a.eachLink(func(n *ffdeployment.Node) *ffrelay.Split { return n.Forward }, fault(on, ffrelay.FaultSilentOpen, 0))
+	case FaultHeldForward:
+		return a.eachLink(func(n *ffdeployment.Node) *ffrelay.Split { return n.Forward }, fault(on, ffrelay.FaultHeld, ffrelay.DirectionClient))
+	case FaultSilentPeer:
+		return a.eachLink(func(n *ffdeployment.Node) *ffrelay.Split { return n.Peer }, fault(on, ffrelay.FaultSilentOpen, 0))
+	default:
+		return d.Platform.SetFault(ctx, a.platformFault(on))
+	}
+}
+
+func fault(on bool, kind ffrelay.FaultKind, direction ffrelay.Direction) ffrelay.Fault {
+	if !on {
+		return ffrelay.Fault{}
+	}
+	return ffrelay.Fault{Kind: kind, Direction: direction}
+}
+
+// eachLink sets a fault of the connections from every data centre to that of the fault.
+func (a *injection) eachLink(of func(*ffdeployment.Node) *ffrelay.Split, f ffrelay.Fault) error {
+	d := a.injector.deployment
+	for _, from := range d.DataCentres() {
+		source := d.In(from)[0].Source()
+		for _, n := range d.In(a.fault.From) {
+			if err := of(n).From(source).SetFault(f); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (a *injection) platformFault(on bool) ffstand.Fault {
+	if !on {
+		return ffstand.Fault{}
+	}
+	switch a.fault.Kind {
+	case FaultPlatformStale:
+		return ffstand.Fault{Kind: ffstand.FaultStale, Back: a.fault.Back}
+	case FaultPlatformFlapping:
+		return ffstand.Fault{Kind: ffstand.FaultFlapping, Back: a.fault.Back}
+	case FaultPlatformRefusing:
+		return ffstand.Fault{Kind: ffstand.FaultRefusing}
+	case FaultPlatformSlow:
+		return ffstand.Fault{Kind: ffstand.FaultSlow, DelayMillis: platformDelay.Milliseconds()}
+	case FaultPlatformCorrupt:
+		return ffstand.Fault{Kind: ffstand.FaultCorrupt, Key: "manifest"}
+	default:
+		return ffstand.Fault{Kind: ffstand.FaultOutage}
+	}
+}
--- /dev/null
+++ b/internal/ffsoak/load.go
@@ -0,0 +1,145 @@
+package ffsoak
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffdeployment"
+	"fireflyfall.dev/fireflyfall/internal/ffgenerator"
+	"fireflyfall.dev/fireflyfall/internal/ffstand"
+	"fireflyfall.dev/fireflyfall/pkg/ffclient"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+const (
+	// keyField is the query field in which a call carries its key to the target's record.
+	keyField = "soak"
+	// giveUp is the time after which a caller waits no longer.
+	giveUp = 12 * time.Second
+	// answerBytes is the size of the answers, so that they can be cut.
+	answerBytes = 4096
+)
+
+// load is the calls of a soak, by the names of its generator's streams.
+type load struct {
+	streams []ffgenerator.Stream
+	sources map[string]source
+}
+
+// source is a stream of the profile at one daemon.
+type source struct {
+	stream stream
+	entry  string
+}
+
+// newLoad returns a stream of the generator for each stream of the profile and
+// each daemon, so that it is known which daemon a call went to.
+func newLoad(p profile, nodes []*ffdeployment.Node, keys map[string]string) *load {
+	l := &load{sources: make(map[string]source)}
+	for _, s := range p.Streams {
+		for i, n := range nodes {
+			name := s.Name + "@" + n.VM.Name
+			c := &ffclient.Client{Key: keys[s.Customer], HTTP: ffgenerator.NewHTTP(), Addresses: []string{n.Caller}}
+			entry := n.VM.Name
+			if s.Once != "" {
+				entry = ""
+				c.Addresses = addressesFrom(nodes, i)
+			}
+			l.sources[name] = source{stream: s, entry: entry}
+			l.streams = append(l.streams, ffgenerator.Stream{
+				Name: name, Client: c, Request: s.request(), Vary: keyed(name), GiveUp: giveUp,
+				Rate: s.Rate / float64(len(nodes)), Once: s.Once,
+			})
+		}
+	}
+	return l
+}
+
+func addressesFrom(nodes []*ffdeployment.Node, first int) []string {
+	var addresses []string
+	for i := range nodes {
+		addresses = append(addresses, nodes[(first+i)%len(nodes)].Caller)
+	}
+	return addresses
+}
+
+func (s stream) request() ffclient.Request {
+	r := ffclient.Request{Method: s.Method, Path: s.Path, Header: http.Header{}}
+	r.Header.Set("Stand-Answer-Bytes", fmt.Sprint(answerBytes))
+	if s.Crash {
+		r.Header.Set("Stand-Crash", ffstand.CrashConnection.String())
+	}
+	return r
+}
+
+// keyed returns how the calls of a stream differ: each has its own key in the
+// path and, but for reads, in the body.
+func keyed(name string) func(uint64, ffclient.Request) ffclient.Request {
+	return func(n uint64, r ffclient.Request) ffclient.Request {
+		key := fmt.Sprintf("%s-%d", name, n)
+		r.Path += "?" + keyField + "=" + key
+		if r.Method != http.MethodGet {
+			r.Body = []byte("call " + key)
+		}
+		r.Header = maps.Clone(r.Header)
+		return r
+	}
+}
+
+// keyOf returns the key in the path of a call; empty when there is none.
+func keyOf(path string) string {
+	_, key, _ := strings.Cut(path, "?"+keyField+"=")
+	return key
+}
+
+// calls returns what the generator has kept.
+func (l *load) calls(results []*ffgenerator.Result) []Call {
+	var calls []Call
+	for _, r := range results {
+		for _, c := range r.Calls() {
+			calls = append(calls, l.sources[r.Name].call(c))
+		}
+	}
+	slices.SortFunc(calls, func(a, b Call) int { return a.Started.Compare(b.Started) })
+	return calls
+}
+
+func (s source) call(c ffgenerator.Call) Call {
+	call := Call{
+		Key: keyOf(c.Request.Path), Customer: s.stream.Customer, Method: c.Request.Method, Path: s.stream.Path,
+		Entry: s.entry, Idempotent: s.stream.Idempotent, Crash: s.stream.Crash, Started: c.Started, Ended: c.Ended,
+		Deadline:   c.Started.Add(time.Duration(s.stream.TimeoutMillis) * time.Millisecond),
+		BodyDigest: ffconfig.DigestOf(c.Request.Body), Outcome: ffclient.OutcomeUnknown,
+	}
+	var e *ffclient.Error
+	if errors.As(c.Err, &e) {
+		call.Outcome = e.Outcome
+	}
+	if c.Err != nil {
+		call.Failure = c.Err.Error()
+	}
+	if a := c.Answer; a != nil {
+		call.take(a)
+	}
+	return call
+}
+
+// take notes an answer.
+func (c *Call) take(a *ffclient.Answer) {
+	c.Outcome = a.Outcome
+	c.Status = a.Status
+	c.Reason = a.Reason
+	c.CallID = a.CallID
+	c.Version = a.Version
+	c.AnswerDigest = ffconfig.DigestOf(a.Body)
+	var answer ffstand.Answer
+	if a.Status == http.StatusOK && json.Unmarshal(a.Body, &answer) == nil {
+		c.Answer = &answer
+	}
+}
