Soak: calls with one token through two daemons at once, and a judge of old records

The same call now goes through two entries at the same time, the hardest case of at most once. The checks are stricter: the version that the target's daemon had at the time, the platform's version at a start, versions that were published in an outage and replaced before its end.

--- a/internal/ffload/soak.go
+++ b/internal/ffload/soak.go
@@ -14,12 +14,13 @@
 
 // Soak runs a deployment under load, new versions and faults, and judges every promise.
 type Soak struct {
-	Deployment string        `arg:"--deployment,required" placeholder:"NAME" help:"sicily or ulaanbaatar"`
+	Deployment string        `arg:"--deployment" default:"sicily" placeholder:"NAME" help:"sicily or ulaanbaatar"`
 	Seed       uint64        `arg:"--seed" default:"1" help:"seed of faults, versions and start times"`
 	For        time.Duration `arg:"--for" default:"60s" help:"length of the load"`
 	PerService int           `arg:"--per-service" default:"2" help:"VMs of each service in each data centre; 0 for all"`
 	Examples   string        `arg:"--examples" default:"examples" help:"directory of the deployments"`
 	Record     string        `arg:"--record" placeholder:"FILE" help:"file for everything that was seen, as JSON"`
+	Judge      string        `arg:"--judge" placeholder:"FILE" help:"judge what a soak before wrote with --record, and run nothing"`
 	Schedule   bool          `arg:"--schedule" help:"print the schedule of faults and versions, and run nothing"`
 }
 
@@ -37,15 +38,10 @@
 	if c.Schedule {
 		return c.printSchedule(setup, out)
 	}
-	record, err := ffsoak.Run(ctx, setup)
+	record, err := c.record(ctx, setup)
 	if err != nil {
 		return err
 	}
-	if c.Record != "" {
-		if err := record.Write(c.Record); err != nil {
-			return err
-		}
-	}
 	report := ffsoak.Judge(record)
 	if err := json.NewEncoder(out).Encode(report); err != nil {
 		return err
@@ -57,6 +53,18 @@
 	return nil
 }
 
+// record returns what was seen in a soak that runs now, or in one before.
+func (c *Soak) record(ctx context.Context, setup ffsoak.Setup) (*ffsoak.Record, error) {
+	if c.Judge != "" {
+		return ffsoak.ReadRecord(c.Judge)
+	}
+	record, err := ffsoak.Run(ctx, setup)
+	if err != nil || c.Record == "" {
+		return record, err
+	}
+	return record, record.Write(c.Record)
+}
+
 func (c *Soak) printSchedule(setup ffsoak.Setup, out io.Writer) error {
 	_, schedule, err := ffsoak.Plan(setup)
 	if err != nil {
--- a/internal/ffsoak/change.go
+++ b/internal/ffsoak/change.go
@@ -63,14 +63,22 @@
 const (
 	// changeSpacing is the time of load for each change.
 	changeSpacing = 1500 * time.Millisecond
-	// lastChanges are the parts of the length, in percent, at which the two last
-	// versions are published, after all faults have ended.
-	beforeLastChange = 80
-	lastChange       = 88
 )
 
-// drawChanges returns the publications of a soak; the first half of the kinds
-// come in a drawn order, and the two last are whole.
+// lastChanges are the versions that are published after all faults have ended,
+// by the part of the length in percent.
+var lastChanges = []struct {
+	percent time.Duration
+	kind    ChangeKind
+}{
+	{78, ChangeMove},
+	{82, ChangeDangling},
+	{86, ChangeMove},
+	{90, ChangeAmend},
+}
+
+// drawChanges returns the publications of a soak: all kinds in a drawn order,
+// again and again, and then the last changes.
 func drawChanges(random *rand.Rand, length time.Duration) []Change {
 	n := int(length * 3 / 4 / changeSpacing)
 	var changes []Change
@@ -83,7 +91,8 @@
 		changes = append(changes, Change{Kind: ChangeKind(order[0]), AtMillis: at.Milliseconds()})
 		order = order[1:]
 	}
-	return append(changes,
-		Change{Kind: ChangeMove, AtMillis: (length * beforeLastChange / 100).Milliseconds()},
-		Change{Kind: ChangeAmend, AtMillis: (length * lastChange / 100).Milliseconds()})
+	for _, last := range lastChanges {
+		changes = append(changes, Change{Kind: last.kind, AtMillis: (length * last.percent / 100).Milliseconds()})
+	}
+	return changes
 }
--- a/internal/ffsoak/checkcall.go
+++ b/internal/ffsoak/checkcall.go
@@ -49,7 +49,7 @@
 	case keyOf(e.Path) != c.Key || e.BodyDigest != c.BodyDigest || e.Method != c.Method:
 		f.crossed++
 		f.violated("the answer belongs to another call", line("call", c), line("execution", e))
-	case c.Entry != "" && !isAttempt(e.CallID, c.CallID):
+	case !c.Token && !isAttempt(e.CallID, c.CallID):
 		f.crossed++
 		f.violated("the answer belongs to another attempt", line("call", c), line("execution", e))
 	}
--- a/internal/ffsoak/checkconvergence.go
+++ b/internal/ffsoak/checkconvergence.go
@@ -39,7 +39,7 @@
 	p := x.Publications[i]
 	from := x.reachableFrom(vm, p.At)
 	due := from.Add(convergenceBound)
-	if p.Faulty || x.replaced(i, from) || due.Add(convergenceSlack).After(x.Ended) {
+	if p.Faulty || !x.readable(i, from) || due.Add(convergenceSlack).After(x.Ended) {
 		return
 	}
 	samples := x.samples[vm]
@@ -74,9 +74,28 @@
 	return from
 }
 
-// replaced reports whether a version was off the platform before daemons could read it.
-func (x *index) replaced(i int, from time.Time) bool {
-	return i+1 < len(x.Publications) && x.Publications[i+1].At.Before(from.Add(replacedAfter))
+// readable reports whether daemons could read the version with this index, or a
+// newer one, from a time on: what stood on the platform then was whole and stayed
+// long enough, or was followed by a whole one. Of two that race, the first may
+// never have been read.
+func (x *index) readable(i int, from time.Time) bool {
+	current := i
+	for current+1 < len(x.Publications) && !x.Publications[current+1].At.After(from) {
+		current++
+	}
+	if current == i && x.rivalFollows(i) {
+		return false
+	}
+	if x.Publications[current].Faulty || x.Publications[i].Version.NewerThan(x.Publications[current].Version) {
+		return false
+	}
+	next := current + 1
+	return next == len(x.Publications) || !x.Publications[next].Faulty || x.Publications[next].At.After(from.Add(replacedAfter))
+}
+
+// rivalFollows reports whether the next publication has the same number.
+func (x *index) rivalFollows(i int) bool {
+	return i+1 < len(x.Publications) && x.Publications[i].Version.ConflictsWith(x.Publications[i+1].Version)
 }
 
 // checkFinal judges that in the end all daemons have the same and newest version.
--- a/internal/ffsoak/checkversion.go
+++ b/internal/ffsoak/checkversion.go
@@ -4,10 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
-
-	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
 // startAge is how long before a start a peer must have shown a version so that
@@ -97,6 +94,30 @@
 			f.violated("the started daemon of "+p.VM+" was ready with an older version than its peer had", line("peer", known), line("started", first), line("process", p))
 		}
 	}
+	x.checkRead(f, p, first)
+}
+
+// checkRead judges the same of the platform, when it was whole all the time.
+func (x *index) checkRead(f *Finding, p Process, first Sample) {
+	if !x.platformWhole(x.vms[p.VM].DataCentre, p.Started, first.At) {
+		return
+	}
+	var newest *Publication
+	for i := range x.Publications {
+		if x.Publications[i].At.Before(p.Started) {
+			newest = &x.Publications[i]
+		}
+	}
+	if newest != nil && !newest.Faulty && newest.Version.NewerThan(first.Version) {
+		f.violated("the started daemon of "+p.VM+" was ready with an older version than the platform had", line("published", newest.Version), line("started", first), line("process", p))
+	}
+}
+
+// platformWhole reports whether nothing kept a data centre from the platform during the whole time.
+func (x *index) platformWhole(dataCentre string, from, to time.Time) bool {
+	return !slices.ContainsFunc(x.Faults, func(f Injected) bool {
+		return f.Kind.ofPlatform() && (f.From == "" || f.From == dataCentre) && f.overlaps(from, to)
+	})
 }
 
 func (x *index) firstReady(p Process) (Sample, bool) {
@@ -121,117 +142,3 @@
 func (x *index) steady(vm string, from, to time.Time) bool {
 	return !slices.ContainsFunc(x.Faults, func(f Injected) bool { return f.overlaps(from, to) && x.concernsVM(f, vm) })
 }
-
-// checkNeverInPart judges that every version seen was published whole, and that
-// each call was answered as that version says.
-func checkNeverInPart(x *index) Finding {
-	f := Finding{Promise: PromiseNeverInPart}
-	for _, p := range x.Processes {
-		for _, name := range p.Applied {
-			if _, ok := x.wholeVersion(name); !ok {
-				f.violated("the daemon of "+p.VM+" applied "+name+", which was never published whole", line("process", p))
-			}
-		}
-		f.exercised(slices.ContainsFunc(p.Refused, func(name string) bool { return x.byVersion[name] != nil && x.byVersion[name].Faulty }))
-	}
-	for _, s := range x.Samples {
-		if _, ok := x.wholeVersion(s.Version.String()); !ok && !s.Version.IsZero() {
-			f.violated("the daemon of "+s.VM+" has a version in force that was never published whole", line("status", s))
-		}
-	}
-	for i := range x.Calls {
-		x.checkConsistent(&f, &x.Calls[i])
-	}
-	return f
-}
-
-// checkConsistent judges one call against the version that it was served from.
-func (x *index) checkConsistent(f *Finding, c *Call) {
-	if c.Reason == "unauthenticated" {
-		f.violated(x.callTrace("every version has the customer's key, yet it was refused", c)...)
-	}
-	if c.Version == "" {
-		return
-	}
-	p, ok := x.wholeVersion(c.Version)
-	if !ok {
-		f.violated(x.callTrace("served from a version that was never published whole", c)...)
-		return
-	}
-	route, there := p.route(c.Method, c.Path)
-	allowed := there && slices.Contains(p.Allowed[c.Customer], route.Name)
-	switch {
-	case c.Reason == "noRoute" && there, c.Reason == "forbidden" && allowed:
-		f.violated(x.callTrace("refused, though version "+c.Version+" has the route and allows it", c)...)
-	case c.Outcome == "ran" && !allowed:
-		f.violated(x.callTrace("ran, though version "+c.Version+" does not have or allow the route", c)...)
-	}
-}
-
-// route returns the longest route of the version that matches.
-func (p *Publication) route(method, path string) (ffconfig.Route, bool) {
-	var best ffconfig.Route
-	found := false
-	for _, r := range p.Routes {
-		if r.Matches(method, path) && (!found || len(r.Path) > len(best.Path)) {
-			best = r
-			found = true
-		}
-	}
-	return best, found
-}
-
-// offers reports whether the version lets targets of a service run a request.
-func (p *Publication) offers(service, method, path string) bool {
-	route, ok := p.route(method, path)
-	if !ok || route.Service != service {
-		return false
-	}
-	return slices.ContainsFunc(p.Services, func(s ffconfig.Service) bool { return s.Name == service && s.Offers(route.Resource) })
-}
-
-// checkNoLackingRoute judges that each execution came to a service that has the
-// resource, by the version of its entry and by some version of its target's daemon.
-func checkNoLackingRoute(x *index) Finding {
-	f := Finding{Promise: PromiseNoLackingRoute}
-	moved := make(map[string]bool)
-	for _, e := range x.Executions {
-		path, _, _ := strings.Cut(e.Path, "?")
-		service := x.vms[e.Target].Service
-		c := x.calls[keyOf(e.Path)]
-		if c != nil && c.Path == movingPath {
-			moved[service] = true
-		}
-		if p, ok := x.answeredFrom(c); ok && !p.offers(service, e.Method, path) {
-			f.violated("the version of the entry does not lead here", line("call", c), line("execution", e))
-		}
-		if !x.offeredAt(e.Target, service, e.Method, path) {
-			f.violated("no version of the target's daemon offers this", line("call", c), line("execution", e))
-		}
-	}
-	f.exercised(len(moved) > 1)
-	return f
-}
-
-// answeredFrom returns the version of a call that only one entry served.
-func (x *index) answeredFrom(c *Call) (*Publication, bool) {
-	if c == nil || c.Entry == "" {
-		return nil, false
-	}
-	return x.wholeVersion(c.Version)
-}
-
-// offeredAt reports whether any version that the daemon of a VM had offers the request.
-func (x *index) offeredAt(vm, service, method, path string) bool {
-	for _, p := range x.Processes {
-		if p.VM != vm {
-			continue
-		}
-		for _, name := range p.Applied {
-			if v := x.byVersion[name]; v != nil && v.offers(service, method, path) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/internal/ffsoak/lives.go
+++ b/internal/ffsoak/lives.go
@@ -121,25 +121,40 @@
 	Version string `json:"version"`
 }
 
-// records returns every life with the versions that its lines tell.
-func (l *lives) records() []Process {
+// records returns every life with the versions that its lines tell. It is an
+// error when the first lines of a process are no longer kept.
+func (l *lives) records() ([]Process, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	records := make([]Process, len(l.all))
 	for i, one := range l.all {
+		lines := one.process.Lines()
+		if !slices.ContainsFunc(lines, tellsStart) {
+			return nil, &Error{Op: "read trail", Kind: ErrorEvidence, Err: merry.Errorf("the first lines of the daemon of %s are lost", one.record.VM)}
+		}
 		records[i] = one.record
-		for _, line := range one.process.Lines() {
-			var a auditLine
-			if line.Decode(&a) != nil {
-				continue
-			}
-			switch a.Audit {
-			case ffaudit.KindVersionApplied.String():
-				records[i].Applied = append(records[i].Applied, a.Version)
-			case ffaudit.KindVersionRefused.String():
-				records[i].Refused = append(records[i].Refused, a.Version)
-			}
+		for _, line := range lines {
+			records[i].read(line)
 		}
 	}
-	return records
+	return records, nil
+}
+
+func tellsStart(line ffprocess.Line) bool {
+	var a auditLine
+	return line.Decode(&a) == nil && a.Audit == ffaudit.KindDaemonStarted.String()
+}
+
+// read takes up what a line of the process tells of versions.
+func (p *Process) read(line ffprocess.Line) {
+	var a auditLine
+	if line.Decode(&a) != nil {
+		return
+	}
+	switch a.Audit {
+	case ffaudit.KindVersionApplied.String():
+		p.Applied = append(p.Applied, a.Version)
+	case ffaudit.KindVersionRefused.String():
+		p.Refused = append(p.Refused, a.Version)
+	}
 }
--- a/internal/ffsoak/load.go
+++ b/internal/ffsoak/load.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -29,6 +27,7 @@
 // load is the calls of a soak, by the names of its generator's streams.
 type load struct {
 	streams []ffgenerator.Stream
+	twins   *twins
 	sources map[string]source
 }
 
@@ -42,6 +41,7 @@
 // each daemon, so that it is known which daemon a call went to.
 func newLoad(p profile, nodes []*ffdeployment.Node, keys map[string]string) *load {
 	l := &load{sources: make(map[string]source)}
+	l.twins = newTwins(p.Twins, nodes, keys)
 	for _, s := range p.Streams {
 		for i, n := range nodes {
 			name := s.Name + "@" + n.VM.Name
@@ -61,6 +61,17 @@
 	return l
 }
 
+func newTwins(s stream, nodes []*ffdeployment.Node, keys map[string]string) *twins {
+	t := &twins{
+		source: source{stream: s},
+		client: &ffclient.Client{Key: keys[s.Customer], HTTP: ffgenerator.NewHTTP(), Addresses: addressesFrom(nodes, 0)},
+	}
+	for _, n := range nodes {
+		t.entries = append(t.entries, n.VM.Name)
+	}
+	return t
+}
+
 func addressesFrom(nodes []*ffdeployment.Node, first int) []string {
 	var addresses []string
 	for i := range nodes {
@@ -78,17 +89,10 @@
 	return r
 }
 
-// keyed returns how the calls of a stream differ: each has its own key in the
-// path and, but for reads, in the body.
+// keyed returns how the calls of a stream differ: each has its own key.
 func keyed(name string) func(uint64, ffclient.Request) ffclient.Request {
 	return func(n uint64, r ffclient.Request) ffclient.Request {
-		key := fmt.Sprintf("%s-%d", name, n)
-		r.Path += "?" + keyField + "=" + key
-		if r.Method != http.MethodGet {
-			r.Body = []byte("call " + key)
-		}
-		r.Header = maps.Clone(r.Header)
-		return r
+		return keyedRequest(r, fmt.Sprintf("%s-%d", name, n))
 	}
 }
 
@@ -106,14 +110,13 @@
 			calls = append(calls, l.sources[r.Name].call(c))
 		}
 	}
-	slices.SortFunc(calls, func(a, b Call) int { return a.Started.Compare(b.Started) })
-	return calls
+	return sorted(calls, l.twins.calls)
 }
 
 func (s source) call(c ffgenerator.Call) Call {
 	call := Call{
 		Key: keyOf(c.Request.Path), Customer: s.stream.Customer, Method: c.Request.Method, Path: s.stream.Path,
-		Entry: s.entry, Idempotent: s.stream.Idempotent, Crash: s.stream.Crash, Started: c.Started, Ended: c.Ended,
+		Entry: s.entry, Idempotent: s.stream.Idempotent, Token: s.stream.Once != "", Crash: s.stream.Crash, Started: c.Started, Ended: c.Ended,
 		Deadline:   c.Started.Add(time.Duration(s.stream.TimeoutMillis) * time.Millisecond),
 		BodyDigest: ffconfig.DigestOf(c.Request.Body), Outcome: ffclient.OutcomeUnknown,
 	}
--- a/internal/ffsoak/profile.go
+++ b/internal/ffsoak/profile.go
@@ -21,6 +21,8 @@
 	// Moving is the route that moves between services, comes and goes.
 	Moving  moving   `json:"moving"`
 	Streams []stream `json:"streams"`
+	// Twins is the stream whose calls go through two daemons at once with one token.
+	Twins stream `json:"twins"`
 }
 
 // amendment names a line of a contract that ends in a whole number.
--- a/internal/ffsoak/record.go
+++ b/internal/ffsoak/record.go
@@ -15,6 +15,7 @@
 type Record struct {
 	Deployment   string              `json:"deployment"`
 	Seed         uint64              `json:"seed"`
+	Schedule     Schedule            `json:"schedule"`
 	VMs          []ffmember.VM       `json:"vms"`
 	Faults       []Injected          `json:"faults"`
 	Publications []Publication       `json:"publications"`
@@ -56,16 +57,18 @@
 	Method   string `json:"method"`
 	Path     string `json:"path"`
 	// Entry is the VM of the daemon that was called; empty when several were.
-	Entry      string           `json:"entry,omitempty"`
-	Idempotent bool             `json:"idempotent,omitempty"`
-	Crash      bool             `json:"crash,omitempty"`
-	Started    time.Time        `json:"started"`
-	Ended      time.Time        `json:"ended"`
-	Deadline   time.Time        `json:"deadline"`
-	Outcome    ffclient.Outcome `json:"outcome"`
-	Status     int              `json:"status,omitempty"`
-	Reason     string           `json:"reason,omitempty"`
-	CallID     string           `json:"callId,omitempty"`
+	Entry      string `json:"entry,omitempty"`
+	Idempotent bool   `json:"idempotent,omitempty"`
+	// Token tells that the call was sent with a token, perhaps more than once.
+	Token    bool             `json:"token,omitempty"`
+	Crash    bool             `json:"crash,omitempty"`
+	Started  time.Time        `json:"started"`
+	Ended    time.Time        `json:"ended"`
+	Deadline time.Time        `json:"deadline"`
+	Outcome  ffclient.Outcome `json:"outcome"`
+	Status   int              `json:"status,omitempty"`
+	Reason   string           `json:"reason,omitempty"`
+	CallID   string           `json:"callId,omitempty"`
 	// Version is the configuration that the entry used.
 	Version    string          `json:"version,omitempty"`
 	BodyDigest ffconfig.Digest `json:"bodyDigest"`
@@ -88,5 +91,18 @@
 	return nil
 }
 
+// ReadRecord reads what Write has written.
+func ReadRecord(path string) (*Record, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "read record", Kind: ErrorFile, Err: err}
+	}
+	r := new(Record)
+	if err := json.Unmarshal(content, r); err != nil {
+		return nil, &Error{Op: "read record", Kind: ErrorFile, Err: err}
+	}
+	return r, nil
+}
+
 // fileMode lets only the owner write the files of a soak.
 const fileMode = 0o644
--- a/internal/ffsoak/report.go
+++ b/internal/ffsoak/report.go
@@ -12,6 +12,7 @@
 	Deployment               string              `json:"deployment"`
 	Seed                     uint64              `json:"seed"`
 	Faults                   []string            `json:"faults"`
+	Injected                 int                 `json:"injected"`
 	Versions                 int                 `json:"versions"`
 	Calls                    int                 `json:"calls"`
 	Answered                 int                 `json:"answered"`
@@ -43,7 +44,7 @@
 	stops := checkGracefulStop(x)
 	converged := checkConvergence(x)
 	report := Report{
-		Deployment: r.Deployment, Seed: r.Seed, Faults: []string{}, Versions: len(r.Publications), Calls: len(r.Calls), Executions: len(r.Executions),
+		Deployment: r.Deployment, Seed: r.Seed, Faults: []string{}, Injected: len(r.Faults), Versions: len(r.Publications), Calls: len(r.Calls), Executions: len(r.Executions),
 		Doubled: once.Count, Cut: answers.cut + stops.cut, Crossed: answers.crossed,
 		VersionsReverted: older.Count, PartialVersions: inPart.Count, NewWorkOnLeaving: leaving.Count,
 		SlowestConvergenceMillis: converged.slowest.Milliseconds(),
@@ -52,7 +53,7 @@
 			older, lacking, inPart, answers.Finding, notRun, once, leaving, stops.Finding, converged.Finding,
 		},
 	}
-	for _, f := range r.Faults {
+	for _, f := range r.Schedule.Faults {
 		report.Faults = append(report.Faults, f.String())
 	}
 	for _, c := range r.Calls {
--- a/internal/ffsoak/soak.go
+++ b/internal/ffsoak/soak.go
@@ -111,6 +111,7 @@
 		return err
 	}
 	s.load = newLoad(s.profile, s.deployment.Nodes, keys)
+	s.load.twins.seed = s.setup.Seed
 	return s.publishFirst(ctx)
 }
 
@@ -150,6 +151,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.publisher.run(ctx, start, s.schedule.Changes) })
 	g.Go(func() error { return s.injector.run(ctx, start, s.schedule.Faults) })
+	g.Go(func() error { s.load.twins.run(ctx, start.Add(s.setup.For)); return nil })
 	g.Go(func() error {
 		generator := ffgenerator.Generator{Streams: s.load.streams, Seed: s.setup.Seed, For: s.setup.For, Keep: true}
 		s.results = generator.Run(ctx)
@@ -172,9 +174,13 @@
 	if err != nil {
 		return nil, err
 	}
+	processes, err := s.lives.records()
+	if err != nil {
+		return nil, err
+	}
 	return &Record{
-		Deployment: s.setup.Deployment, Seed: s.setup.Seed, VMs: s.deployment.VMs(),
-		Faults: s.injector.injected, Publications: s.publisher.publications, Processes: s.lives.records(),
+		Deployment: s.setup.Deployment, Seed: s.setup.Seed, Schedule: s.schedule, VMs: s.deployment.VMs(),
+		Faults: s.injector.injected, Publications: s.publisher.publications, Processes: processes,
 		Samples: s.sampler.samples, Calls: s.load.calls(s.results), Executions: executions, Ended: ended,
 	}, nil
 }
