--- a/internal/ffgate/target_test.go
+++ b/internal/ffgate/target_test.go
@@ -1,6 +1,7 @@
 package ffgate_test
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -100,6 +101,7 @@
 // Errors by which a target says that a call did not run.
 var (
 	errShed        = ffcall.Refuse("target", ffcall.KindOverload, merry.New("shed"))
+	errLate        = ffcall.Refuse("target", ffcall.KindDeadline, merry.New("too late for the first byte"))
 	errUnreachable = ffcall.Refuse("target", ffcall.KindUnreachable, merry.New("no connection"))
 )
 
@@ -170,5 +172,5 @@
 		ids = append(ids, x.call.ID)
 	}
 	slices.Sort(ids)
-	return strings.Join(ids, " ")
+	return cmp.Or(strings.Join(ids, " "), "none")
 }
