--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -108,13 +107,17 @@
 			dataCentres = append(dataCentres, vm.DataCentre)
 		}
 	}
-	addresses, err := ffprocess.FreeAddresses(portsPerNode * len(d.plan.Fleet))
+	var hosts []netip.Addr
+	for _, vm := range d.plan.Fleet {
+		hosts = append(hosts, hostsOf(sourceOf(slices.Index(dataCentres, vm.DataCentre)))...)
+	}
+	addresses, err := ffprocess.FreeAddressesOn(hosts)
 	if err != nil {
 		return &Error{Op: "prepare", Kind: KindAddress, Err: err}
 	}
 	for i, vm := range d.plan.Fleet {
 		source := sourceOf(slices.Index(dataCentres, vm.DataCentre))
-		own := portsOf(addresses[i*portsPerNode:(i+1)*portsPerNode], source)
+		own := portsOf(addresses[i*portsPerNode : (i+1)*portsPerNode])
 		n := &Node{VM: vm, deployment: d, source: source, ports: own, Caller: own.caller, Target: ffstand.TargetControl{Address: own.targetControl}}
 		n.VM.PeerAddress = own.peer
 		n.VM.ForwardAddress = own.forward
@@ -130,12 +133,13 @@
 // sourceOf returns the loopback address of a data centre by its index.
 func sourceOf(index int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, byte(10 + index), 1}) }
 
-func portsOf(addresses []string, source netip.Addr) ports {
-	at := func(i int) string {
-		_, port, _ := net.SplitHostPort(addresses[i])
-		return net.JoinHostPort(source.String(), port)
-	}
-	return ports{caller: at(0), peer: at(1), forward: at(2), operator: at(3), target: at(4), targetControl: addresses[5]}
+// hostsOf returns the host of each port of a VM, in the order of portsOf.
+func hostsOf(source netip.Addr) []netip.Addr {
+	return []netip.Addr{source, source, source, source, source, ffprocess.Loopback}
+}
+
+func portsOf(a []string) ports {
+	return ports{caller: a[0], peer: a[1], forward: a[2], operator: a[3], target: a[4], targetControl: a[5]}
 }
 
 func (n *Node) prepareRelays(wanted bool) error {
--- a/internal/ffprocess/address.go
+++ b/internal/ffprocess/address.go
@@ -20,9 +20,19 @@
 // FreeAddresses returns n different loopback addresses (host and port) on which
 // nothing listens now.
 func FreeAddresses(n int) ([]string, error) {
-	addresses := make([]string, 0, n)
-	for range n {
-		listener, err := listenAnywhere()
+	hosts := make([]netip.Addr, n)
+	for i := range hosts {
+		hosts[i] = Loopback
+	}
+	return FreeAddressesOn(hosts)
+}
+
+// FreeAddressesOn returns a free address (host and port) on each of some hosts,
+// all different.
+func FreeAddressesOn(hosts []netip.Addr) ([]string, error) {
+	addresses := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		listener, err := listenOn(host)
 		if err != nil {
 			return nil, err
 		}
@@ -32,11 +42,13 @@
 	return addresses, nil
 }
 
-func listenAnywhere() (net.Listener, error) {
-	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+// Loopback is the usual loopback address.
+var Loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+func listenOn(host netip.Addr) (net.Listener, error) {
 	for range maxPortTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		listener, err := net.Listen("tcp", netip.AddrPortFrom(loopback, uint16(port)).String())
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(host, uint16(port)).String())
 		if err == nil {
 			return listener, nil
 		}
--- /dev/null
+++ b/internal/ffprocess/address_test.go
@@ -0,0 +1,29 @@
+package ffprocess_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"fireflyfall.dev/fireflyfall/internal/ffprocess"
+)
+
+// TestFreeAddressesAreFreeOnTheirHost listens on each address on the very host
+// that was asked for; another run may use the same port on another host.
+func TestFreeAddressesAreFreeOnTheirHost(t *testing.T) {
+	hosts := []netip.Addr{ffprocess.Loopback, netip.MustParseAddr("127.0.10.1"), netip.MustParseAddr("127.0.10.1")}
+	addresses, err := ffprocess.FreeAddressesOn(hosts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, address := range addresses {
+		if got := netip.MustParseAddrPort(address).Addr(); got != hosts[i] {
+			t.Errorf("%s is not on %s", address, hosts[i])
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+	}
+}
