--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -107,17 +108,19 @@
 			dataCentres = append(dataCentres, vm.DataCentre)
 		}
 	}
-	var hosts []netip.Addr
+	subnet := byte(1 + rand.IntN(subnets))
+	free := make(map[netip.Addr][]string)
 	for _, vm := range d.plan.Fleet {
-		hosts = append(hosts, hostsOf(sourceOf(slices.Index(dataCentres, vm.DataCentre)))...)
-	}
-	addresses, err := ffprocess.FreeAddressesOn(hosts)
-	if err != nil {
-		return &Error{Op: "prepare", Kind: KindAddress, Err: err}
-	}
-	for i, vm := range d.plan.Fleet {
-		source := sourceOf(slices.Index(dataCentres, vm.DataCentre))
-		own := portsOf(addresses[i*portsPerNode : (i+1)*portsPerNode])
+		source := sourceOf(subnet, slices.Index(dataCentres, vm.DataCentre))
+		if len(free[source]) == 0 {
+			addresses, err := ffprocess.FreeAddressesAt(source, portsPerNode*len(d.plan.Fleet))
+			if err != nil {
+				return &Error{Op: "prepare", Kind: KindAddress, Err: err}
+			}
+			free[source] = addresses
+		}
+		own := portsOf(free[source][:portsPerNode])
+		free[source] = free[source][portsPerNode:]
 		n := &Node{VM: vm, deployment: d, source: source, ports: own, Caller: own.caller, Target: ffstand.TargetControl{Address: own.targetControl}}
 		n.VM.PeerAddress = own.peer
 		n.VM.ForwardAddress = own.forward
@@ -130,12 +133,13 @@
 	return nil
 }
 
-// sourceOf returns the loopback address of a data centre by its index.
-func sourceOf(index int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, byte(10 + index), 1}) }
+// subnets is the number of loopback networks among which deployments choose, so
+// that two at a time seldom share one.
+const subnets = 250
 
-// hostsOf returns the host of each port of a VM, in the order of portsOf.
-func hostsOf(source netip.Addr) []netip.Addr {
-	return []netip.Addr{source, source, source, source, source, ffprocess.Loopback}
+// sourceOf returns the loopback address of a data centre by its index.
+func sourceOf(subnet byte, index int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, subnet, byte(index), 1})
 }
 
 func portsOf(a []string) ports {
--- a/internal/ffprocess/address.go
+++ b/internal/ffprocess/address.go
@@ -20,19 +20,15 @@
 // FreeAddresses returns n different loopback addresses (host and port) on which
 // nothing listens now.
 func FreeAddresses(n int) ([]string, error) {
-	hosts := make([]netip.Addr, n)
-	for i := range hosts {
-		hosts[i] = Loopback
-	}
-	return FreeAddressesOn(hosts)
+	return FreeAddressesAt(netip.AddrFrom4([4]byte{127, 0, 0, 1}), n)
 }
 
-// FreeAddressesOn returns a free address (host and port) on each of some hosts,
-// all different.
-func FreeAddressesOn(hosts []netip.Addr) ([]string, error) {
-	addresses := make([]string, 0, len(hosts))
-	for _, host := range hosts {
-		listener, err := listenOn(host)
+// FreeAddressesAt returns n different addresses (host and port) of a loopback
+// address on which nothing listens now.
+func FreeAddressesAt(host netip.Addr, n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for range n {
+		listener, err := listenAnywhere(host)
 		if err != nil {
 			return nil, err
 		}
@@ -42,10 +38,7 @@
 	return addresses, nil
 }
 
-// Loopback is the usual loopback address.
-var Loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
-
-func listenOn(host netip.Addr) (net.Listener, error) {
+func listenAnywhere(host netip.Addr) (net.Listener, error) {
 	for range maxPortTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
 		listener, err := net.Listen("tcp", netip.AddrPortFrom(host, uint16(port)).String())
--- a/internal/ffsoak/schedule.go
+++ b/internal/ffsoak/schedule.go
@@ -15,10 +15,17 @@
 	// minFault and maxFault bound the length of a fault.
 	minFault = 1200 * time.Millisecond
 	maxFault = 6 * time.Second
+	// faultPart is the part of the length that a fault may take, as a divisor.
+	faultPart = 6
 	// drawAttempts bounds the tries to find a place for a fault.
 	drawAttempts = 30
 	// maxBack bounds the publications that the platform goes back.
 	maxBack = 6
+	// firstFrom is when the first planned stop begins, in percent of the length;
+	// the other faults begin between mixedFrom and mixedUntil.
+	firstFrom  = 8
+	mixedFrom  = 20
+	mixedUntil = 60
 	// herdPart is the part of all VMs that dies in a herd, as a divisor.
 	herdPart = 3
 )
@@ -55,8 +62,10 @@
 	fleet       []ffmember.VM
 	dataCentres []string
 	longService string
-	drawn       []Fault
-	claims      []claim
+	// earliest is the part of the length, in percent, from which a fault begins.
+	earliest time.Duration
+	drawn    []Fault
+	claims   []claim
 }
 
 // claim keeps other faults away from what a fault concerns.
@@ -72,7 +81,11 @@
 		order = append(order, d.permutation()...)
 	}
 	order = append([]FaultKind{FaultPlannedStop}, order[:n]...)
-	for _, kind := range order {
+	for i, kind := range order {
+		d.earliest = mixedFrom
+		if i == 0 {
+			d.earliest = firstFrom
+		}
 		for range drawAttempts {
 			if d.place(d.fault(kind)) {
 				break
@@ -82,6 +95,15 @@
 	slices.SortStableFunc(d.drawn, func(a, b Fault) int { return cmp.Compare(a.AtMillis, b.AtMillis) })
 }
 
+// latest returns the part of the length, in percent, up to which a fault begins;
+// the first one comes alone.
+func (d *drawing) latest() time.Duration {
+	if d.earliest == firstFrom {
+		return firstFrom + 1
+	}
+	return mixedUntil
+}
+
 func (d *drawing) permutation() []FaultKind {
 	kinds := make([]FaultKind, faultKinds)
 	for i, k := range d.random.Perm(int(faultKinds)) {
@@ -92,8 +114,8 @@
 
 // fault draws a fault of a kind.
 func (d *drawing) fault(kind FaultKind) Fault {
-	start := d.between(d.length/20, d.length*6/10)
-	longest := min(maxFault, d.length*74/100-start)
+	start := d.between(d.length*d.earliest/100, d.length*d.latest()/100)
+	longest := min(maxFault, d.length/faultPart, d.length*74/100-start)
 	end := start + d.between(min(minFault, longest), longest)
 	f := Fault{Kind: kind, AtMillis: start.Milliseconds(), UntilMillis: end.Milliseconds()}
 	switch kind {
