--- a/pkg/ffclient/once_test.go
+++ b/pkg/ffclient/once_test.go
@@ -33,7 +33,7 @@
 	w.Header().Set("Fireflyfall-Reason", reason)
 }
 
-func (d *daemon) doOnce(ctx context.Context, t *testing.T) (*ffclient.Answer, error) {
+func (d *daemon) doOnce(ctx context.Context) (*ffclient.Answer, error) {
 	s := httptest.NewServer(d)
 	defer s.Close()
 	c := &ffclient.Client{Addresses: []string{strings.TrimPrefix(s.URL, "http://")}}
@@ -55,7 +55,7 @@
 		{"cut notRun notRun ran", ffclient.OutcomeRan, 4},
 	} {
 		d := &daemon{outcomes: strings.Fields(c.outcomes)}
-		answer, err := d.doOnce(t.Context(), t)
+		answer, err := d.doOnce(t.Context())
 		if err != nil || answer.Outcome != c.want || d.asked != c.asked {
 			t.Errorf("%s: answer %+v after %d requests, error %v", c.outcomes, answer, d.asked, err)
 		}
@@ -66,7 +66,7 @@
 func TestLostRequestIsUnknownAtTheEnd(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	d := &daemon{outcomes: []string{"cut", "notRun", "notRun"}, last: cancel}
-	answer, err := d.doOnce(ctx, t)
+	answer, err := d.doOnce(ctx)
 	if err == nil && answer.Outcome != ffclient.OutcomeUnknown {
 		t.Fatalf("answer %+v", answer)
 	}
