--- a/internal/ffsoak/checkconvergence.go
+++ b/internal/ffsoak/checkconvergence.go
@@ -37,12 +37,16 @@
 
 func (x *index) checkReached(c *convergence, i int, vm string) {
 	p := x.Publications[i]
-	from := x.reachableFrom(vm, p.At)
+	samples := x.samples[vm]
+	if len(samples) == 0 {
+		c.violated("the daemon of " + vm + " never answered")
+		return
+	}
+	from := x.reachableFrom(vm, later(p.At, samples[0].Asked))
 	due := from.Add(convergenceBound)
 	if p.Faulty || !x.readable(i, from) || due.Add(convergenceSlack).After(x.Ended) {
 		return
 	}
-	samples := x.samples[vm]
 	n := slices.IndexFunc(samples, func(s Sample) bool { return s.Ready && s.At.After(p.At) && !p.Version.NewerThan(s.Version) })
 	if n < 0 || samples[n].At.After(due.Add(convergenceSlack)) {
 		trace := []string{
@@ -111,3 +115,10 @@
 		}
 	}
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
