--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -193,7 +193,12 @@
 	if !d.plan.Relays || d.platformRelays[dataCentre] != nil {
 		return nil
 	}
-	r, err := ffrelay.New(anyPort, d.platform)
+	// A cut closes the relay's port for a while, in which no outgoing connection may take it.
+	free, err := ffprocess.FreeAddresses(1)
+	if err != nil {
+		return &Error{Op: "prepare", Kind: KindAddress, Err: err}
+	}
+	r, err := ffrelay.New(free[0], d.platform)
 	if err != nil {
 		return err
 	}
