ffclient: a request that HTTP replayed is not reported as not run

Cause: net/http sends a request without a body again by itself when a kept connection breaks before the answer. The first copy may have run, but the answer to the second, refused as not run, was passed on as the outcome of both. The caller now gets unknown. Weighed: forbidding the replay (net/http offers no switch for reads without a body).

--- a/pkg/ffclient/client.go
+++ b/pkg/ffclient/client.go
@@ -51,22 +51,27 @@
 
 // DoAt sends the request once, to the daemon at an address.
 func (c *Client) DoAt(ctx context.Context, address string, r Request) (*Answer, error) {
-	written := false
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { written = true }, GotConn: func(httptrace.GotConnInfo) { written = true }}
+	var sent atomic.Int64
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Add(1) }}
 	request, err := c.request(httptrace.WithClientTrace(ctx, trace), address, r)
 	if err != nil {
 		return nil, &Error{Op: "call", Kind: KindRequest, Outcome: OutcomeNotRun, Err: err}
 	}
 	answer, err := c.client().Do(request)
 	if err != nil {
-		return nil, &Error{Op: "call", Kind: KindTransport, Outcome: outcomeOf(written, r), Err: err}
+		return nil, &Error{Op: "call", Kind: KindTransport, Outcome: outcomeOf(sent.Load() > 0, r), Err: err}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
 		return nil, &Error{Op: "read answer", Kind: KindTransport, Outcome: OutcomeUnknown, Err: err}
 	}
-	return answerOf(answer, body, time.Now()), nil
+	a := answerOf(answer, body, time.Now())
+	if a.Outcome == OutcomeNotRun && sent.Load() > 1 {
+		// The HTTP client sent the request again by itself; the first copy may have run.
+		a.Outcome = OutcomeUnknown
+	}
+	return a, nil
 }
 
 // outcomeOf tells what is known of a call without an answer: one that was never
