--- a/internal/ffsoak/checkroute.go
+++ b/internal/ffsoak/checkroute.go
@@ -101,5 +101,8 @@
 			until = after + 1
 		}
 	}
-	return p.Applied[min(from, until):until]
+	if from >= until {
+		return p.Applied
+	}
+	return p.Applied[from:until]
 }
