--- a/internal/ffsoak/check_test.go
+++ b/internal/ffsoak/check_test.go
@@ -47,14 +47,17 @@
 	}
 }
 
+// readCase reads a case over the record that all cases start from.
 func readCase(t *testing.T, path string) checkCase {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
 	var c checkCase
-	if err := json.Unmarshal(content, &c); err != nil {
-		t.Fatal(err)
+	for _, one := range []string{"testdata/base/record.json", path} {
+		content, err := os.ReadFile(one)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(content, &c); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return c
 }
