--- a/internal/ffentry/bound.go
+++ b/internal/ffentry/bound.go
@@ -46,10 +46,21 @@
 	}
 }
 
-// lost reports whether the attempt may not have reached the gate.
+// lost reports whether the attempt may not have reached the gate. A refusal by
+// the gate as not run is final, since it spends the token.
 func lost(err error) bool {
-	k := ffcall.KindOf(err)
-	return k == ffcall.KindUnreachable || k == ffcall.KindSilent || k == ffcall.KindTruncated
+	var e *ffcall.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Kind {
+	case ffcall.KindSilent:
+		return true
+	case ffcall.KindUnreachable, ffcall.KindTruncated:
+		return e.Outcome != ffcall.OutcomeNotRun || e.Load.VM == ""
+	default:
+		return false
+	}
 }
 
 // Mint returns a token for one call of a route that is not idempotent. Its
--- a/internal/ffgate/do.go
+++ b/internal/ffgate/do.go
@@ -50,8 +50,7 @@
 	}
 	route, refusal := g.mayStart(now, c, v)
 	if refusal != nil {
-		g.store.refuse(now, a, refusal)
-		return nil, nil, refusal
+		return nil, nil, g.store.refuse(now, a, refusal)
 	}
 	a.route = route.Name
 	a.durable = a.hasToken || !route.Idempotent
--- a/internal/ffgate/ledger.go
+++ b/internal/ffgate/ledger.go
@@ -20,7 +20,7 @@
 
 func (l *ledger) keep(r *record) {
 	switch {
-	case r.barred:
+	case r.barred, r.hasToken && r.notRun():
 		return
 	case !r.durable || r.notRun():
 		r.ownList = &l.evictable
--- a/internal/ffgate/machine_test.go
+++ b/internal/ffgate/machine_test.go
@@ -147,7 +147,7 @@
 			t.Fatalf("call %s got %q", s.call.ID, s.reply.Body)
 		}
 		if ffcall.OutcomeOf(s.err) == ffcall.OutcomeNotRun {
-			m.checkNotRun(t, s.call)
+			m.checkNotRun(t, s.call, s.err)
 		}
 	}
 	if load := m.gate.Load(); load.QueuedShort > 0 && load.FreeSlots > 0 {
@@ -156,12 +156,18 @@
 }
 
 // checkNotRun holds while the refusal is remembered; a copy that comes after it
-// was evicted counts as a new call.
-func (m *machine) checkNotRun(t *rapid.T, c *ffcall.Call) {
+// was evicted counts as a new call. With a token it holds for every attempt: one
+// that an entry gave up may still come after another was refused. That an
+// attempt never came tells of this attempt alone.
+func (m *machine) checkNotRun(t *rapid.T, c *ffcall.Call, err error) {
 	if m.records == fewRecords {
 		return
 	}
-	if m.target.count(func(o *ffcall.Call) bool { return o.ID == c.ID && o.Customer == c.Customer }) > 0 {
+	refused := operation(c)
+	if ffcall.KindOf(err) == ffcall.KindSilent {
+		refused = func(o *ffcall.Call) bool { return o.ID == c.ID && o.Customer == c.Customer }
+	}
+	if m.target.count(refused) > 0 {
 		t.Fatalf("call %s was refused as not run and ran: %+v", c.ID, *c)
 	}
 }
@@ -234,7 +240,7 @@
 			_, err := m.settle(s.call)
 			// An answer that comes after the deadline does not count.
 			if ffcall.OutcomeOf(err) == ffcall.OutcomeNotRun && m.clock.peek().Before(s.deadline) {
-				m.checkNotRun(t, s.call)
+				m.checkNotRun(t, s.call, err)
 			}
 		},
 		"lookUpUnseen": func(t *rapid.T) {
--- a/internal/ffgate/outcome.go
+++ b/internal/ffgate/outcome.go
@@ -66,8 +66,9 @@
 	return &ffcall.Error{Op: "outcome", Err: merry.New("the call is not remembered")}
 }
 
+// neverCame tells of one attempt alone: another one with its token may have run.
 func neverCame() *ffcall.Error {
-	return ffcall.Refuse("outcome", ffcall.KindUnreachable, merry.New("the call never came to the gate"))
+	return ffcall.Refuse("outcome", ffcall.KindSilent, merry.New("the call never came to the gate"))
 }
 
 // await waits for the end of a call that was recorded before.
--- a/internal/ffgate/store.go
+++ b/internal/ffgate/store.go
@@ -67,13 +67,30 @@
 	return r, nil
 }
 
-// refuse remembers a refusal, so that a late copy of the attempt does not run.
-func (s *store) refuse(now time.Time, a attempt, refusal *ffcall.Error) {
-	a.hasToken, a.durable = false, false
+// refuse remembers a refusal, so that neither a late copy of the attempt nor
+// another attempt with its token runs, and returns what may be said of it.
+func (s *store) refuse(now time.Time, a attempt, refusal *ffcall.Error) *ffcall.Error {
+	a.durable = false
+	if refusal.Kind == ffcall.KindToken {
+		a.hasToken = false // the token starts no call anyway
+	}
 	r, full := s.begin(a)
-	if full == nil {
-		s.finish(now, r, nil, refusal)
+	if full != nil {
+		return a.unremembered(refusal)
+	}
+	s.finish(now, r, nil, refusal)
+	return refusal
+}
+
+// unremembered returns a refusal that is not recorded: another attempt with the
+// same token may still run, so that nothing is known of the token's call.
+func (a attempt) unremembered(refusal *ffcall.Error) *ffcall.Error {
+	if !a.hasToken {
+		return refusal
 	}
+	unproved := *refusal
+	unproved.Outcome = ffcall.OutcomeUnknown
+	return &unproved
 }
 
 // lose notes that an attempt which came is not recorded.
@@ -89,7 +106,7 @@
 		old := oldest(&l.evictable)
 		if old == nil {
 			s.lose(a)
-			return nil, ffcall.Refuse("begin", ffcall.KindOverload, merry.Errorf("%d outcomes of the customer are remembered", l.records))
+			return nil, a.unremembered(ffcall.Refuse("begin", ffcall.KindOverload, merry.Errorf("%d outcomes of the customer are remembered", l.records)))
 		}
 		s.evict(l, old)
 	}
@@ -103,19 +120,18 @@
 	return r, nil
 }
 
-// finish records what became of a call. A call that did not run frees its token.
+// finish records what became of a call. A refusal spends the token too: an
+// earlier attempt with it may still come, after the caller was told that the
+// call did not run.
 func (s *store) finish(now time.Time, r *record, reply *ffcall.Reply, refusal *ffcall.Error) {
 	l := s.ledger(r.call.customer)
 	r.refusal = refusal
 	s.keepReply(l, r, reply)
 	memory := repeatableMemory
-	if r.durable || r.barred {
+	if r.durable || r.barred || r.hasToken {
 		memory = durableMemory
 	}
 	r.expireAt = later(now, r.deadline).Add(memory)
-	if r.notRun() && r.hasToken {
-		delete(s.byToken, r.token)
-	}
 	heap.Push(&s.expiries, r)
 	l.keep(r)
 	close(r.done)
