--- a/internal/ffforward/client.go
+++ b/internal/ffforward/client.go
@@ -6,8 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
 	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
@@ -95,9 +93,7 @@
 			return c.settle(ctx, a, incarnation, r.err)
 		case <-silence.C:
 			r, running, err := c.lookUp(ctx, a, incarnation)
-			if err != nil {
-				failed++
-			}
+			failed = failuresInRow(failed, err)
 			if err == nil && !running {
 				c.pool.drop(a.vm.ForwardAddress)
 				return r.reply, r.err
@@ -111,6 +107,14 @@
 	}
 }
 
+// failuresInRow counts one more look-up that failed, or starts anew.
+func failuresInRow(failed int, err error) int {
+	if err == nil {
+		return 0
+	}
+	return failed + 1
+}
+
 // broken reports whether err tells of the connection and not of the call.
 func broken(err error) bool {
 	k := ffcall.KindOf(err)
@@ -128,10 +132,8 @@
 		case <-poll.C:
 		}
 		r, running, err := c.lookUp(ctx, a, incarnation)
-		switch {
-		case err != nil:
-			failed++
-		case !running:
+		failed = failuresInRow(failed, err)
+		if err == nil && !running {
 			return r.reply, r.err
 		}
 		poll.Reset(pollInterval)
@@ -167,26 +169,13 @@
 	if r.GetRunning() {
 		return result{}, true, nil
 	}
-	reply, err := replyOf(a.call.ID, r.GetResponse(), time.Now())
-	return result{reply: reply, err: err}, false, nil
-}
-
-// Mint asks the daemon of vm for a token.
-func (c *Client) Mint(ctx context.Context, vm ffmember.VM, customer, route string) (string, error) {
-	conn, err := c.get(ctx, vm)
-	if err != nil {
-		return "", ffcall.Refuse("dial", ffcall.KindUnreachable, err)
-	}
-	r, err := ffprotocol.NewDRPCCallServiceClient(conn).Mint(ctx, &ffprotocol.MintRequest{Customer: customer, Route: route})
-	if err != nil {
-		_ = conn.Close()
-		return "", ffcall.Refuse("mint", ffcall.KindUnreachable, err)
-	}
-	c.pool.put(vm.ForwardAddress, conn)
-	if r.GetRefusal() != 0 {
-		return "", ffcall.Refuse("mint", ffcall.Kind(r.GetRefusal()), merry.New(r.GetReason()))
+	now := time.Now()
+	reply, err := replyOf(a.call.ID, r.GetResponse(), now)
+	if now.After(a.call.Deadline.Add(answerGrace)) {
+		// The gate may have forgotten by now that the attempt ran.
+		err = ffcall.Unproved(err)
 	}
-	return r.GetToken(), nil
+	return result{reply: reply, err: err}, false, nil
 }
 
 // Close closes the idle connections.
--- a/internal/ffforward/convert.go
+++ b/internal/ffforward/convert.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
 	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
@@ -35,7 +34,7 @@
 }
 
 func requestOf(c *ffcall.Call, from string, incarnation uint64, now time.Time) *ffprotocol.ForwardRequest {
-	return &ffprotocol.ForwardRequest{
+	r := &ffprotocol.ForwardRequest{
 		CallId:          c.ID,
 		Customer:        c.Customer,
 		Route:           c.Route.Name,
@@ -47,10 +46,11 @@
 		Body:            c.Body,
 		VersionNumber:   c.Version.Number,
 		VersionDigest:   string(c.Version.Digest),
-		BodyChecksum:    xxhash.Sum64(c.Body),
 		Incarnation:     incarnation,
 		From:            from,
 	}
+	r.Checksum = requestChecksum(r)
+	return r
 }
 
 func loadOf(l ffcall.Load) *ffprotocol.Load {
@@ -80,16 +80,17 @@
 }
 
 func answerOf(callID string, r *ffcall.Reply) *ffprotocol.ForwardResponse {
-	return &ffprotocol.ForwardResponse{
-		CallId:       callID,
-		Status:       int32(r.Status),
-		Headers:      headersOf(r.Header),
-		Body:         r.Body,
-		BodyChecksum: xxhash.Sum64(r.Body),
-		Outcome:      int32(ffcall.OutcomeRan),
-		NextToken:    r.NextToken,
-		Load:         loadOf(r.Load),
+	answer := &ffprotocol.ForwardResponse{
+		CallId:    callID,
+		Status:    int32(r.Status),
+		Headers:   headersOf(r.Header),
+		Body:      r.Body,
+		Outcome:   int32(ffcall.OutcomeRan),
+		NextToken: r.NextToken,
+		Load:      loadOf(r.Load),
 	}
+	answer.Checksum = responseChecksum(answer)
+	return answer
 }
 
 func refusalOf(callID string, err *ffcall.Error, load ffcall.Load, now time.Time) *ffprotocol.ForwardResponse {
@@ -103,6 +104,7 @@
 	if !err.RetryAt.IsZero() {
 		r.RetryAfterMicros = max(err.RetryAt.Sub(now).Microseconds(), 1)
 	}
+	r.Checksum = responseChecksum(r)
 	return r
 }
 
@@ -111,12 +113,12 @@
 	if r.GetCallId() != callID {
 		return nil, &ffcall.Error{Op: "forward", Kind: ffcall.KindCrossed, Err: merry.Errorf("the answer is for call %q", r.GetCallId())}
 	}
+	if responseChecksum(r) != r.GetChecksum() {
+		return nil, &ffcall.Error{Op: "forward", Kind: ffcall.KindTruncated, Err: merry.New("the answer does not match its checksum")}
+	}
 	if r.GetRefusal() != 0 || r.GetStatus() == 0 {
 		return nil, errorOf(r, now)
 	}
-	if xxhash.Sum64(r.GetBody()) != r.GetBodyChecksum() {
-		return nil, &ffcall.Error{Op: "forward", Kind: ffcall.KindTruncated, Err: merry.New("the answer's body does not match its checksum")}
-	}
 	return &ffcall.Reply{
 		Status:    int(r.GetStatus()),
 		Header:    httpHeader(r.GetHeaders()),
--- a/internal/ffforward/server.go
+++ b/internal/ffforward/server.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
 	"fireflyfall.dev/fireflyfall/internal/ffprotocol"
@@ -72,12 +71,13 @@
 // accept checks an attempt before the gate sees it. Its refusals tell of this
 // attempt alone.
 func (s *Server) accept(r *ffprotocol.ForwardRequest) (*ffcall.Call, error) {
+	if requestChecksum(r) != r.GetChecksum() {
+		// Whose request it was is not known, so that a look-up must tell what became of it.
+		return nil, &ffcall.Error{Op: "forward", Kind: ffcall.KindTruncated, Err: merry.New("the request does not match its checksum")}
+	}
 	if r.GetIncarnation() != s.Incarnation {
 		return nil, ffcall.Refuse("forward", ffcall.KindUnreachable, merry.New("the call is meant for an earlier incarnation of this daemon"))
 	}
-	if xxhash.Sum64(r.GetBody()) != r.GetBodyChecksum() {
-		return nil, ffcall.Refuse("forward", ffcall.KindTruncated, merry.New("the request's body does not match its checksum"))
-	}
 	s.Versions.Heard(r.GetFrom(), ffconfig.Version{Number: r.GetVersionNumber(), Digest: ffconfig.Digest(r.GetVersionDigest())})
 	if !s.Readiness.Ready() {
 		return nil, ffcall.Refuse("forward", ffcall.KindNotReady, merry.New("the daemon has not learnt the greatest version yet"))
