--- a/internal/ffcaller/body.go
+++ b/internal/ffcaller/body.go
@@ -1,6 +1,7 @@
 package ffcaller
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -15,8 +16,13 @@
 // customerBodyPart is the part of the memory for bodies that one customer may hold.
 const customerBodyPart = 4
 
-// bodyMemory bounds the memory that bodies in flight take, in all and for each customer.
+// defaultBodyMemory bounds the memory that bodies in flight take, in bytes.
+const defaultBodyMemory = 256 << 20
+
+// bodyMemory bounds the memory that bodies in flight take, in all and for each
+// customer. The zero value has the default bound.
 type bodyMemory struct {
+	// limit is the bound in bytes; the default when zero.
 	limit int64
 
 	mu    sync.Mutex
@@ -28,7 +34,8 @@
 func (m *bodyMemory) take(customer string, n int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.total+n > m.limit || m.held[customer]+n > m.limit/customerBodyPart {
+	limit := cmp.Or(m.limit, defaultBodyMemory)
+	if m.total+n > limit || m.held[customer]+n > limit/customerBodyPart {
 		return ffcall.Refuse("read body", ffcall.KindOverload, merry.Errorf("the memory for bodies has no room for %d bytes more", n))
 	}
 	if m.held == nil {
--- a/internal/ffcaller/handler.go
+++ b/internal/ffcaller/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,12 +15,14 @@
 )
 
 const (
-	// defaultBodyMemory bounds the memory that bodies in flight take, in bytes.
-	defaultBodyMemory = 256 << 20
+	// unreadTimeout bounds the wait for the rest of a request that is refused before
+	// its body was read; the connection lives on when the rest comes by then.
+	unreadTimeout = 200 * time.Millisecond
+	// minStatus and maxStatus bound the statuses that a target may answer with.
+	minStatus = 200
+	maxStatus = 999
 	// writeTimeout bounds the writing of an answer to a slow caller.
 	writeTimeout = 30 * time.Second
-	// maxTokenRequestBytes bounds the body of a request for a token, in bytes.
-	maxTokenRequestBytes = 4 << 10
 )
 
 // Entry takes calls to their answers.
@@ -43,7 +44,7 @@
 
 // NewHandler returns a handler over an entry.
 func NewHandler(entry *ffentry.Entry, metrics *Metrics) *Handler {
-	return &Handler{Entry: entry, Metrics: metrics, memory: bodyMemory{limit: defaultBodyMemory}}
+	return &Handler{Entry: entry, Metrics: metrics}
 }
 
 // ServeHTTP takes one request to its answer.
@@ -70,7 +71,7 @@
 func (h *Handler) serveCall(w http.ResponseWriter, r *http.Request, snapshot *ffconfig.Snapshot, contract *ffconfig.Contract, start time.Time) {
 	w.Header().Set(headerVersion, snapshot.Version().String())
 	if r.Header.Get(headerRetry) == "true" && r.Header.Get(headerToken) == "" {
-		h.fail(w, contract.Customer, "", &ffcall.Error{Op: "retry", Kind: ffcall.KindToken, Err: merry.New("a retry without a token cannot be looked up, so it is not run")})
+		h.refuseCall(w, r, contract.Customer, &ffcall.Error{Op: "retry", Kind: ffcall.KindToken, Err: merry.New("a retry without a token cannot be looked up, so it is not run")})
 		return
 	}
 	admission, err := h.Entry.Admit(r.Context(), snapshot, contract, r.Method, r.URL.Path)
@@ -132,6 +133,10 @@
 }
 
 func (h *Handler) answer(w http.ResponseWriter, call *ffcall.Call, reply *ffcall.Reply) {
+	if reply.Status < minStatus || reply.Status > maxStatus {
+		h.fail(w, call.Customer, call.ID, &ffcall.Error{Op: "answer", Outcome: ffcall.OutcomeRan, Err: merry.Errorf("the target answered with status %d", reply.Status)})
+		return
+	}
 	header := w.Header()
 	for field, values := range endToEnd(reply.Header) {
 		header[field] = values
@@ -154,6 +159,9 @@
 	if r.Header.Get(headerToken) != "" {
 		err = ffcall.Unproved(err)
 	}
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout))
+	}
 	h.fail(w, customer, "", err)
 }
 
@@ -179,34 +187,3 @@
 	}
 	return now.Add(time.Duration(millis) * time.Millisecond), nil
 }
-
-// tokenRequest is the body of a request for a token.
-type tokenRequest struct {
-	Route string `json:"route"`
-}
-
-// tokenResponse is the body of the answer to a request for a token.
-type tokenResponse struct {
-	Token string `json:"token"`
-}
-
-func (h *Handler) serveToken(w http.ResponseWriter, r *http.Request, snapshot *ffconfig.Snapshot, contract *ffconfig.Contract) {
-	if r.Method != http.MethodPost {
-		h.fail(w, contract.Customer, "", ffcall.Refuse("mint", ffcall.KindNoRoute, merry.New("tokens are minted with POST")))
-		return
-	}
-	var asked tokenRequest
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTokenRequestBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&asked); err != nil {
-		h.fail(w, contract.Customer, "", ffcall.Refuse("mint", ffcall.KindMalformed, err))
-		return
-	}
-	token, err := h.Entry.Mint(r.Context(), snapshot, contract, asked.Route)
-	if err != nil {
-		h.fail(w, contract.Customer, "", err)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(tokenResponse{Token: token})
-}
--- a/internal/ffcaller/header.go
+++ b/internal/ffcaller/header.go
@@ -28,8 +28,10 @@
 // endToEnd returns the header fields that pass between caller and target.
 func endToEnd(h http.Header) http.Header {
 	kept := h.Clone()
-	for _, field := range strings.Split(h.Get("Connection"), ",") {
-		kept.Del(strings.TrimSpace(field))
+	for _, line := range h.Values("Connection") {
+		for field := range strings.SplitSeq(line, ",") {
+			kept.Del(strings.TrimSpace(field))
+		}
 	}
 	for _, field := range hopHeaders {
 		kept.Del(field)
--- a/internal/ffentry/admission.go
+++ b/internal/ffentry/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -38,6 +39,9 @@
 
 // Admit checks the route of a request and takes its part of the contract.
 func (e *Entry) Admit(ctx context.Context, snapshot *ffconfig.Snapshot, contract *ffconfig.Contract, method, path string) (*Admission, error) {
+	if dotted(path) {
+		return nil, ffcall.Refuse("admit", ffcall.KindMalformed, merry.Errorf("the path %q has dot segments, which could lead to another route", path))
+	}
 	route, ok := snapshot.Route(method, path)
 	if !ok {
 		return nil, ffcall.Refuse("admit", ffcall.KindNoRoute, merry.Errorf("no route takes %s %s", method, path))
@@ -51,3 +55,14 @@
 	}
 	return &Admission{Contract: contract, Route: route, Version: snapshot.Version(), permit: permit}, nil
 }
+
+// dotted reports whether a path has segments that a target may resolve to a path
+// of another route.
+func dotted(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
