--- a/internal/ffcaller/fake_test.go
+++ b/internal/ffcaller/fake_test.go
@@ -123,7 +123,8 @@
 	return calls
 }
 
-// start serves callers on loopback and returns the address.
+// start serves callers on loopback and returns the address. A request's header
+// may take longer than a test.
 func start(t testing.TB, gate *fakeGate) string {
 	t.Helper()
 	f := fixed{
@@ -138,6 +139,7 @@
 		t.Fatal(err)
 	}
 	server := ffcaller.NewServer("", ffcaller.NewHandler(entry, nil), zerolog.Nop())
+	server.ReadHeaderTimeout = 2 * generous
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
