--- a/internal/ffdistribution/reader.go
+++ b/internal/ffdistribution/reader.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
-	"fireflyfall.dev/fireflyfall/internal/ffplacement"
 	"fireflyfall.dev/fireflyfall/internal/ffplatform"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
@@ -23,22 +22,6 @@
 	vmBytes = 200
 )
 
-// role tells which of the platform's values this daemon reads.
-type role struct {
-	manifest, list bool
-}
-
-// role works out whether this daemon is among the readers of its data centre, by its own view.
-func (n *Node) role() role {
-	readers := n.readers(n.reachable(n.Self.DataCentre), ffplacement.ReaderCount)
-	for i, vm := range readers {
-		if vm.Name == n.Self.Name {
-			return role{manifest: true, list: i == 0}
-		}
-	}
-	return role{manifest: len(readers) == 0, list: len(readers) == 0}
-}
-
 // runManifestWatch watches the platform's manifest while this daemon is a reader.
 func (n *Node) runManifestWatch(ctx context.Context) error {
 	r := manifestReader{n: n, wait: newBackoff()}
@@ -81,7 +64,7 @@
 	if value.Revision == r.revision {
 		return nil
 	}
-	if err := r.n.acceptManifest(ctx, value.Content, r); err != nil {
+	if err := r.accept(ctx, value); err != nil {
 		return err
 	}
 	r.revision = value.Revision
@@ -96,23 +79,24 @@
 	return r.n.Platform.Read(ctx, ffplatform.ManifestKey)
 }
 
-// acceptManifest brings a manifest of the platform into force if it is newer.
-func (n *Node) acceptManifest(ctx context.Context, content []byte, r *manifestReader) error {
-	_, v, err := ffconfig.DecodeManifest(content)
+// accept brings a manifest of the platform into force if it is newer.
+func (r *manifestReader) accept(ctx context.Context, value ffplatform.Value) error {
+	store := r.n.Store
+	_, v, err := ffconfig.DecodeManifest(value.Content)
 	if err != nil {
-		n.Store.RefuseFromPlatform(ffconfig.Version{Digest: ffconfig.DigestOf(content)}, err)
+		store.RefuseFromPlatform(ffconfig.Version{Digest: ffconfig.DigestOf(value.Content)}, value.Revision, err)
 		return nil
 	}
-	n.Store.Observe(v)
-	if !n.Store.WantsFromPlatform(v) {
+	store.Observe(v)
+	if !store.WantsFromPlatform(v, value.Revision) {
 		return nil
 	}
-	err = n.complete(ctx, content, origin{foreign: true})
+	err = r.n.complete(ctx, value.Content, origin{foreign: true})
 	if KindOf(err) == KindRefused {
 		return nil
 	}
 	if KindOf(err) == KindCorrupt && r.giveUp(v) {
-		n.Store.RefuseFromPlatform(v, err)
+		store.RefuseFromPlatform(v, value.Revision, err)
 		return nil
 	}
 	return err
@@ -120,11 +104,11 @@
 
 // giveUp counts a damaged reading of v and reports whether it was the last attempt.
 func (r *manifestReader) giveUp(v ffconfig.Version) bool {
-	if r.version != v {
+	if r.version != v || r.corrupt == corruptAttempts {
 		r.version, r.corrupt = v, 0
 	}
 	r.corrupt++
-	return r.corrupt >= corruptAttempts
+	return r.corrupt == corruptAttempts
 }
 
 // runListWatch watches the platform's list of VMs while this daemon is its reader.
--- a/internal/ffgate/do.go
+++ b/internal/ffgate/do.go
@@ -131,6 +131,12 @@
 	}
 }
 
+func (g *Gate) look() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch(g.now())
+}
+
 // decide refuses a call that waits. The caller holds the lock.
 func (g *Gate) decide(now time.Time, x *execution, refusal *ffcall.Error) {
 	g.end(now, x, 0, nil, refusal)
@@ -184,7 +190,7 @@
 		g.estimator.Observe(now, x.call.Route.Name, used)
 	case refusal.Kind == ffcall.KindUnreachable && refusal.Outcome == ffcall.OutcomeNotRun:
 		g.health.failed(now)
-	case refusal.Outcome == ffcall.OutcomeNotRun && x.ctx.Err() == nil:
+	case refusal.Kind == ffcall.KindOverload && refusal.Outcome == ffcall.OutcomeNotRun:
 		g.health.reached()
 		g.limiter.shed(now, all)
 	}
--- a/internal/ffmember/all.go
+++ b/internal/ffmember/all.go
@@ -14,8 +14,45 @@
 
 // Present returns the VMs that are not gone, by name.
 func (v *View) Present() []VM {
-	v.build()
-	vms := slices.Collect(maps.Values(v.index.byName))
-	sortByName(vms)
-	return vms
+	names := maps.Clone(v.List().byName)
+	if names == nil {
+		names = make(map[string]VM)
+	}
+	for name, e := range v.evidence {
+		names[name] = e.VM
+	}
+	var present []VM
+	for name := range names {
+		if vm, ok := v.VM(name); ok {
+			present = append(present, vm)
+		}
+	}
+	sortByName(present)
+	return present
+}
+
+// Len returns the number of VMs that are not gone.
+func (v *View) Len() int {
+	n := v.List().present()
+	for name, e := range v.evidence {
+		listed, ok := v.List().VM(name)
+		if ok && listed.State != StateGone {
+			n--
+		}
+		if e.State != StateGone {
+			n++
+		}
+	}
+	return n
+}
+
+// present returns the number of entries that are not gone.
+func (l *List) present() int {
+	n := 0
+	for _, vm := range l.byName {
+		if vm.State != StateGone {
+			n++
+		}
+	}
+	return n
 }
