--- a/internal/ffforward/attempt.go
+++ b/internal/ffforward/attempt.go
@@ -28,7 +28,7 @@
 // run sends the call, waits for the whole answer and gives the connection back.
 func (a *attempt) run(ctx context.Context) {
 	client := ffprotocol.NewDRPCCallServiceClient(a.conn)
-	r, err := client.Forward(ctx, requestOf(a.call, a.from, a.conn.incarnation, time.Now()))
+	r, err := client.Forward(ctx, requestOf(a.call, a.from, a.conn, time.Now()))
 	if err != nil {
 		_ = a.conn.Close()
 		a.result <- result{err: &ffcall.Error{Op: "forward", Kind: ffcall.KindUnreachable, Err: err}}
--- a/internal/ffforward/checksum.go
+++ b/internal/ffforward/checksum.go
@@ -68,6 +68,7 @@
 	s.text(r.GetVersionDigest())
 	s.number(r.GetIncarnation())
 	s.text(r.GetFrom())
+	s.number(uint64(r.GetDeadlineMicros()))
 	return s.digest.Sum64()
 }
 
--- a/internal/ffforward/client_test.go
+++ b/internal/ffforward/client_test.go
@@ -296,3 +296,24 @@
 	err := l.client.LookUp(t.Context(), l.vm, call, 1)
 	wantOutcome(t, err, ffcall.OutcomeUnknown)
 }
+
+// TestRequestHeldBackIsLate: a request that arrives after its deadline does not
+// run, however much time it says is left.
+func TestRequestHeldBackIsLate(t *testing.T) {
+	l := newLink(t)
+	call := newCall("late")
+	call.Deadline = time.Now().Add(shortSilence)
+	held := ffforward.RequestOf(call, "entry", 1)
+	awaitTime(call.Deadline)
+	answer, err := l.server.Forward(t.Context(), held)
+	if err != nil || ffcall.Kind(answer.GetRefusal()) != ffcall.KindDeadline || l.gate.ran["late"] > 0 {
+		t.Fatalf("answer %v, error %v", answer, err)
+	}
+}
+
+// awaitTime waits until a time has passed.
+func awaitTime(at time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), at)
+	defer cancel()
+	<-ctx.Done()
+}
--- a/internal/ffforward/conn.go
+++ b/internal/ffforward/conn.go
@@ -21,6 +21,8 @@
 	MaxMessageBytes = 65 << 20
 	// dialTimeout bounds the making of a connection and the greeting over it.
 	dialTimeout = 500 * time.Millisecond
+	// maxAge is the time for which a connection takes calls.
+	maxAge = 5 * time.Minute
 	// userTimeout bounds the time that sent bytes may stay unacknowledged.
 	userTimeout = 5 * time.Second
 )
@@ -29,7 +31,11 @@
 type conn struct {
 	*drpcconn.Conn
 	incarnation uint64
+	clock       remoteClock
 	idleUntil   time.Time
+	// closeAt is the time from which the connection takes no further call, since
+	// the two clocks drift apart.
+	closeAt time.Time
 }
 
 // ManagerOptions returns the options of both ends of a connection between daemons.
@@ -56,7 +62,10 @@
 		_ = made.Close()
 		return nil, merry.Errorf("VM %q answers at the address of VM %q", hello.GetVm(), vm.Name)
 	}
+	now := time.Now()
 	made.incarnation = hello.GetIncarnation()
+	made.clock = remoteClock{micros: hello.GetClockMicros(), heardAt: now}
+	made.closeAt = now.Add(maxAge)
 	return made, nil
 }
 
--- a/internal/ffforward/convert.go
+++ b/internal/ffforward/convert.go
@@ -33,7 +33,7 @@
 	return h
 }
 
-func requestOf(c *ffcall.Call, from string, incarnation uint64, now time.Time) *ffprotocol.ForwardRequest {
+func requestOf(c *ffcall.Call, from string, over *conn, now time.Time) *ffprotocol.ForwardRequest {
 	r := &ffprotocol.ForwardRequest{
 		CallId:          c.ID,
 		Customer:        c.Customer,
@@ -46,8 +46,9 @@
 		Body:            c.Body,
 		VersionNumber:   c.Version.Number,
 		VersionDigest:   string(c.Version.Digest),
-		Incarnation:     incarnation,
+		Incarnation:     over.incarnation,
 		From:            from,
+		DeadlineMicros:  over.clock.at(c.Deadline),
 	}
 	r.Checksum = requestChecksum(r)
 	return r
--- a/internal/ffforward/export_test.go
+++ b/internal/ffforward/export_test.go
@@ -11,7 +11,9 @@
 
 // RequestOf exposes requestOf to tests.
 func RequestOf(c *ffcall.Call, from string, incarnation uint64) *ffprotocol.ForwardRequest {
-	return requestOf(c, from, incarnation, time.Now())
+	now := time.Now()
+	over := &conn{incarnation: incarnation, clock: remoteClock{micros: clockMicros(now), heardAt: now}}
+	return requestOf(c, from, over, now)
 }
 
 // ReplyOf exposes replyOf to tests.
--- a/internal/ffforward/fake_test.go
+++ b/internal/ffforward/fake_test.go
@@ -56,6 +56,10 @@
 		g.mu.Unlock()
 		return nil, neverCame()
 	}
+	if !time.Now().Before(c.Deadline) {
+		g.mu.Unlock()
+		return nil, ffcall.Refuse("run", ffcall.KindDeadline, merry.New("late"))
+	}
 	g.ran[c.ID]++
 	g.mu.Unlock()
 	g.started <- c.ID
--- a/internal/ffforward/pool.go
+++ b/internal/ffforward/pool.go
@@ -46,7 +46,7 @@
 	case <-c.Closed():
 		return false
 	default:
-		return now.Before(c.idleUntil)
+		return now.Before(c.idleUntil) && now.Before(c.closeAt)
 	}
 }
 
--- a/internal/ffforward/server.go
+++ b/internal/ffforward/server.go
@@ -104,7 +104,7 @@
 		Share:    contract.Share,
 		Route:    route,
 		Token:    r.GetToken(),
-		Deadline: now.Add(time.Duration(r.GetRemainingMicros()) * time.Microsecond),
+		Deadline: deadlineOf(r, now),
 		Method:   r.GetMethod(),
 		Path:     r.GetPath(),
 		Header:   httpHeader(r.GetHeaders()),
@@ -113,6 +113,17 @@
 	}, nil
 }
 
+// deadlineOf returns the deadline of a call. The time left counts from the
+// arrival, which a frozen process or a stalled network puts off; the deadline on
+// this daemon's clock stands.
+func deadlineOf(r *ffprotocol.ForwardRequest, now time.Time) time.Time {
+	left := now.Add(time.Duration(r.GetRemainingMicros()) * time.Microsecond)
+	if fixed := clockTime(r.GetDeadlineMicros()); fixed.Before(left) {
+		return fixed
+	}
+	return left
+}
+
 func (s *Server) refusal(callID string, err error) *ffprotocol.ForwardResponse {
 	var e *ffcall.Error
 	if !errors.As(err, &e) {
@@ -140,7 +151,7 @@
 
 // Hello names the daemon.
 func (s *Server) Hello(context.Context, *ffprotocol.HelloRequest) (*ffprotocol.HelloResponse, error) {
-	return &ffprotocol.HelloResponse{Vm: s.VM, Incarnation: s.Incarnation}, nil
+	return &ffprotocol.HelloResponse{Vm: s.VM, Incarnation: s.Incarnation, ClockMicros: clockMicros(time.Now())}, nil
 }
 
 // Mint issues a token.
--- a/internal/ffprocess/process.go
+++ b/internal/ffprocess/process.go
@@ -35,6 +35,16 @@
 // Exited returns a channel that is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
+// Status returns nil when the process has ended with status 0, and how it ended
+// otherwise. It waits for the end.
+func (p *Process) Status() error {
+	<-p.exited
+	if p.err != nil {
+		return p.fail("end", KindExited, p.err)
+	}
+	return nil
+}
+
 // Freeze stops the process until Wake.
 func (p *Process) Freeze() error { return p.signal("freeze", syscall.SIGSTOP) }
 
--- /dev/null
+++ b/internal/ffproof/judge_test.go
@@ -0,0 +1,157 @@
+package ffproof_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffstand"
+	"fireflyfall.dev/fireflyfall/pkg/ffclient"
+	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
+)
+
+// maxLineBytes bounds one line of a record, in bytes.
+const maxLineBytes = 1 << 20
+
+// executions returns the record of a target over all lives of its process.
+func (s *stage) executions(vm string) ([]ffstand.Execution, error) {
+	f, err := os.Open(s.recordOf(vm))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	var all []ffstand.Execution
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		var e ffstand.Execution
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			continue // the process died, or is, in the middle of the line
+		}
+		all = take(all, e)
+	}
+	return all, lines.Err()
+}
+
+// take adds the start of an execution, or replaces it by its end.
+func take(all []ffstand.Execution, e ffstand.Execution) []ffstand.Execution {
+	i := slices.IndexFunc(all, func(o ffstand.Execution) bool { return o.Number == e.Number && o.Started.Equal(e.Started) })
+	if i < 0 {
+		return append(all, e)
+	}
+	all[i] = e
+	return all
+}
+
+// ran returns every execution at any target, by path.
+func (s *stage) ran() (map[string][]ffstand.Execution, error) {
+	byPath := make(map[string][]ffstand.Execution)
+	for _, n := range s.deployment.Nodes {
+		all, err := s.executions(n.VM.Name)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range all {
+			byPath[e.Path] = append(byPath[e.Path], e)
+		}
+	}
+	return byPath, nil
+}
+
+// awaitRecord waits until an execution of the call is as wanted.
+func (s *stage) awaitRecord(name string, wanted func(ffstand.Execution) bool) error {
+	c, err := s.call(name)
+	if err != nil {
+		return err
+	}
+	return s.eventually("the execution", func(context.Context) (bool, error) {
+		byPath, err := s.ran()
+		return slices.ContainsFunc(byPath[c.path], wanted), err
+	})
+}
+
+func (s *stage) running(args []string) error {
+	return s.awaitRecord(args[0], func(e ffstand.Execution) bool { return e.Ended.IsZero() })
+}
+
+func (s *stage) recorded(args []string) error {
+	return s.awaitRecord(args[0], func(e ffstand.Execution) bool { return !e.Ended.IsZero() })
+}
+
+func (s *stage) runs(args []string) error {
+	c, err := s.call(args[0])
+	if err != nil {
+		return err
+	}
+	byPath, err := s.ran()
+	if err != nil {
+		return err
+	}
+	if n := len(byPath[c.path]); !slices.Contains(args[1:], strconv.Itoa(n)) {
+		return merry.Errorf("it ran %d times", n)
+	}
+	return nil
+}
+
+// judge holds for every call of every script: a call that is not idempotent ran
+// at most once, none that was refused as not run is in a record, and each answer
+// is the whole one that a target produced for that very call.
+func (s *stage) judge([]string) error {
+	byPath, err := s.ran()
+	if err != nil {
+		return err
+	}
+	for path, all := range byPath {
+		if strings.HasPrefix(path, "/deposit") && len(all) > 1 {
+			return merry.Errorf("%s ran %d times: %+v", path, len(all), all)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.calls {
+		if err := c.judge(byPath[c.path]); err != nil {
+			return merry.Prependf(err, "call %s", c.name)
+		}
+	}
+	return nil
+}
+
+func (c *call) judge(all []ffstand.Execution) error {
+	select {
+	case <-c.done:
+	default:
+		return merry.New("it has not ended")
+	}
+	switch ffclient.Outcome(c.outcome()) {
+	case ffclient.OutcomeNotRun:
+		if len(all) > 0 {
+			return merry.Errorf("refused as not run, and in the record: %+v", all)
+		}
+	case ffclient.OutcomeRan:
+		return c.judgeAnswer(all)
+	}
+	return nil
+}
+
+func (c *call) judgeAnswer(all []ffstand.Execution) error {
+	if c.answer.Status != http.StatusOK {
+		return nil // the target's own refusal
+	}
+	var a ffstand.Answer
+	if err := json.Unmarshal(c.answer.Body, &a); err != nil {
+		return err
+	}
+	digest := ffconfig.DigestOf(c.answer.Body)
+	i := slices.IndexFunc(all, func(e ffstand.Execution) bool { return e.AnswerDigest == digest && e.CallID == a.CallID })
+	if i < 0 || !a.Whole() {
+		return merry.Errorf("no target produced the answer %s, the record is %+v", describe(c.answer), all)
+	}
+	return nil
+}
--- a/internal/ffretry/policy.go
+++ b/internal/ffretry/policy.go
@@ -56,5 +56,5 @@
 	if !budgetOf(&p.retries, c.Customer).Spend(c.RetryPercent, now) {
 		return Decision{Reason: ReasonBudget}
 	}
-	return Decision{Action: ActionRetry, Reason: ReasonTransient, At: at, Elsewhere: elsewhere(kind)}
+	return Decision{Action: ActionRetry, Reason: ReasonTransient, At: at, Elsewhere: elsewhere(err, kind)}
 }
--- a/internal/ffretry/rule.go
+++ b/internal/ffretry/rule.go
@@ -36,15 +36,19 @@
 }
 
 // elsewhere reports whether the same target would fail again. A target whose
-// daemon lacks the version may have it at the next attempt.
-func elsewhere(kind ffcall.Kind) bool { return kind != ffcall.KindVersion }
+// daemon lacks the version may have it at the next attempt, and one that an
+// attempt never reached over a dead connection is reached over a new one.
+func elsewhere(err error, kind ffcall.Kind) bool {
+	neverCame := kind == ffcall.KindSilent && ffcall.OutcomeOf(err) == ffcall.OutcomeNotRun
+	return kind != ffcall.KindVersion && !neverCame
+}
 
 // notBefore returns the start of the next attempt. Another target need not wait
 // for the one that refused; the same target is given the time that it asks for.
 func (p *Policy) notBefore(err error, kind ffcall.Kind, attempt int, now time.Time) time.Time {
 	at := now.Add(fullJitter(attempt, p.draw))
 	var e *ffcall.Error
-	if !elsewhere(kind) && errors.As(err, &e) && e.RetryAt.After(at) {
+	if !elsewhere(err, kind) && errors.As(err, &e) && e.RetryAt.After(at) {
 		return e.RetryAt
 	}
 	return at
