--- a/internal/ffcaller/connections.go
+++ b/internal/ffcaller/connections.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -16,15 +17,16 @@
 // maxUnclaimed bounds the connections that no customer has authenticated on.
 const maxUnclaimed = 512
 
-// connections counts the open connections of each customer, and closes the
-// oldest of those on which no customer has authenticated when there are too
-// many. The zero value is empty.
+// connections counts the open connections of each customer. When there are too
+// many on which no customer has authenticated, it closes the oldest one of the
+// address that has the most of them. The zero value is empty.
 type connections struct {
 	mu     sync.Mutex
 	owners map[net.Conn]string
 	counts map[string]int
-	// unclaimed holds the connections without a customer, the oldest first.
-	unclaimed list.List
+	// unclaimed holds the connections without a customer by the caller's address,
+	// the oldest first, and places where each is in its list.
+	unclaimed map[netip.Addr]*list.List
 	places    map[net.Conn]*list.Element
 }
 
@@ -51,22 +53,57 @@
 func (s *connections) add(c net.Conn) {
 	if s.places == nil {
 		s.places = make(map[net.Conn]*list.Element)
+		s.unclaimed = make(map[netip.Addr]*list.List)
 		s.owners = make(map[net.Conn]string)
 		s.counts = make(map[string]int)
 	}
-	s.places[c] = s.unclaimed.PushBack(c)
-	if s.unclaimed.Len() > maxUnclaimed {
-		oldest := s.unclaimed.Front().Value.(net.Conn)
+	source := sourceOf(c)
+	if s.unclaimed[source] == nil {
+		s.unclaimed[source] = list.New()
+	}
+	s.places[c] = s.unclaimed[source].PushBack(c)
+	if len(s.places) > maxUnclaimed {
+		oldest := s.longest().Front().Value.(net.Conn)
 		s.forget(oldest)
 		_ = oldest.Close()
 	}
 }
 
-func (s *connections) forget(c net.Conn) {
-	if place, ok := s.places[c]; ok {
-		s.unclaimed.Remove(place)
-		delete(s.places, c)
+// longest returns the unclaimed connections of the address that has the most.
+func (s *connections) longest() *list.List {
+	var longest *list.List
+	for _, l := range s.unclaimed {
+		if longest == nil || l.Len() > longest.Len() {
+			longest = l
+		}
+	}
+	return longest
+}
+
+// unclaim takes a connection out of those without a customer.
+func (s *connections) unclaim(c net.Conn) {
+	place, ok := s.places[c]
+	if !ok {
+		return
 	}
+	source := sourceOf(c)
+	s.unclaimed[source].Remove(place)
+	if s.unclaimed[source].Len() == 0 {
+		delete(s.unclaimed, source)
+	}
+	delete(s.places, c)
+}
+
+// sourceOf returns the address of a connection's caller.
+func sourceOf(c net.Conn) netip.Addr {
+	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
+func (s *connections) forget(c net.Conn) {
+	s.unclaim(c)
 	owner, ok := s.owners[c]
 	if !ok {
 		return
--- a/internal/ffcaller/fake_test.go
+++ b/internal/ffcaller/fake_test.go
@@ -160,7 +160,14 @@
 
 func dial(t testing.TB, address string) *caller {
 	t.Helper()
-	c, err := net.Dial("tcp", address)
+	return dialFrom(t, "127.0.0.1", address)
+}
+
+// dialFrom connects from a loopback address.
+func dialFrom(t testing.TB, source, address string) *caller {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+	c, err := d.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/ffcaller/slow_test.go
+++ b/internal/ffcaller/slow_test.go
@@ -151,23 +151,23 @@
 }
 
 // TestConnectionsWithoutRequest: connections that never send a request make room
-// for new ones, the oldest first, and those of customers stay.
+// for new ones, the oldest first; those of customers and of other addresses stay.
 func TestConnectionsWithoutRequest(t *testing.T) {
 	const flood = 700
 	address := start(t, &fakeGate{})
 	own := dial(t, address)
 	own.send(t, good)
 	wantRefusal(t, own.answer(t), http.StatusOK, ffcall.OutcomeRan)
+	slow := dialFrom(t, "127.0.0.1", address)
 	silent := make([]*caller, flood)
 	for i := range silent {
-		silent[i] = dial(t, address)
+		silent[i] = dialFrom(t, "127.0.0.2", address)
 	}
 	if _, err := silent[0].reader.ReadByte(); err != io.EOF {
 		t.Fatalf("the oldest of %d silent connections: %v, want it closed", flood, err)
 	}
 	own.send(t, good)
 	wantRefusal(t, own.answer(t), http.StatusOK, ffcall.OutcomeRan)
-	c := dial(t, address)
-	c.send(t, goodToo)
-	wantRefusal(t, c.answer(t), http.StatusOK, ffcall.OutcomeRan)
+	slow.send(t, goodToo)
+	wantRefusal(t, slow.answer(t), http.StatusOK, ffcall.OutcomeRan)
 }
--- a/internal/ffproof/careless_test.go
+++ b/internal/ffproof/careless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -24,11 +25,17 @@
 	slowAnswerBytes = 8 << 20
 )
 
-// careless is a caller that misbehaves in one way until the script ends.
+// careless is a caller that misbehaves in one way until the script ends. Each of
+// its calls has a path of its own.
 type careless struct {
 	end     context.Context
 	address string
 	key     string
+	sent    *atomic.Int64
+}
+
+func (c *careless) path(route string) string {
+	return fmt.Sprintf("/%s/careless-%d", route, c.sent.Add(1))
 }
 
 // misbehaviours are what one caller does again and again, or for good.
@@ -60,7 +67,7 @@
 		return merry.Errorf("no misbehaviour %q", args[2])
 	}
 	for range m.callers {
-		one := &careless{end: s.end, address: c.client.Addresses[0], key: c.client.Key}
+		one := &careless{end: s.end, address: c.client.Addresses[0], key: c.client.Key, sent: &s.carelessSent}
 		s.loops.Go(func() { one.run(m.do) })
 	}
 	return nil
@@ -72,7 +79,7 @@
 		panic(err)
 	}
 	r.Header.Set("Authorization", "Bearer "+c.key)
-	answer, err := http.DefaultClient.Do(r)
+	answer, err := carelessHTTP.Do(r)
 	if err != nil {
 		return
 	}
@@ -80,19 +87,25 @@
 	_ = answer.Body.Close()
 }
 
-func (c *careless) flood() { c.post("/deposit/careless", strings.NewReader("x")) }
+func (c *careless) flood() { c.post(c.path("deposit"), strings.NewReader("x")) }
+
+// carelessDialer connects from the careless customer's own address.
+var carelessDialer = &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+
+// carelessHTTP carries the requests of careless callers.
+var carelessHTTP = &http.Client{Transport: &http.Transport{DialContext: carelessDialer.DialContext}}
 
 // zeros is an endless body.
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
 
-func (c *careless) hugeBody() { c.post("/deposit/careless", io.LimitReader(zeros{}, hugeBodyBytes)) }
+func (c *careless) hugeBody() { c.post(c.path("deposit"), io.LimitReader(zeros{}, hugeBodyBytes)) }
 
 // open sends some bytes and keeps the connection until the daemon closes it or
 // the script ends.
 func (c *careless) open(head string, keep func(net.Conn)) {
-	conn, err := (&net.Dialer{}).DialContext(c.end, "tcp", c.address)
+	conn, err := carelessDialer.DialContext(c.end, "tcp", c.address)
 	if err != nil {
 		return
 	}
@@ -110,10 +123,10 @@
 func (c *careless) keepSilent() { c.open("", awaitEnd) }
 
 func (c *careless) writeSlowly() {
-	c.open(fmt.Sprintf("POST /deposit/careless HTTP/1.1\r\nHost: d\r\nAuthorization: Bearer %s\r\nContent-Length: 4000\r\n\r\nx", c.key), awaitEnd)
+	c.open(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: d\r\nAuthorization: Bearer %s\r\nContent-Length: 4000\r\n\r\nx", c.path("deposit"), c.key), awaitEnd)
 }
 
 func (c *careless) readSlowly() {
-	head := fmt.Sprintf("GET /lookup/careless HTTP/1.1\r\nHost: d\r\nAuthorization: Bearer %s\r\nStand-Answer-Bytes: %d\r\n\r\n", c.key, slowAnswerBytes)
+	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: d\r\nAuthorization: Bearer %s\r\nStand-Answer-Bytes: %d\r\n\r\n", c.path("lookup"), c.key, slowAnswerBytes)
 	c.open(head, func(net.Conn) { <-c.end.Done() })
 }
--- a/internal/ffproof/judge_test.go
+++ b/internal/ffproof/judge_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"fireflyfall.dev/fireflyfall/internal/ffdeployment"
 	"fireflyfall.dev/fireflyfall/internal/ffstand"
 	"fireflyfall.dev/fireflyfall/pkg/ffclient"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
@@ -77,6 +78,22 @@
 	})
 }
 
+// ranAt returns the VM whose target ran the call.
+func (s *stage) ranAt(name string) (*ffdeployment.Node, error) {
+	c, err := s.call(name)
+	if err != nil {
+		return nil, err
+	}
+	byPath, err := s.ran()
+	if err != nil {
+		return nil, err
+	}
+	if len(byPath[c.path]) == 0 {
+		return nil, merry.Errorf("%s has not run", name)
+	}
+	return s.node(byPath[c.path][0].Target)
+}
+
 func (s *stage) running(args []string) error {
 	return s.awaitRecord(args[0], func(e ffstand.Execution) bool { return e.Ended.IsZero() })
 }
--- a/internal/ffproof/stage_test.go
+++ b/internal/ffproof/stage_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -40,6 +41,9 @@
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 
+	// carelessSent counts the calls of careless callers.
+	carelessSent atomic.Int64
+
 	mu    sync.Mutex
 	calls map[string]*call
 }
@@ -165,7 +169,11 @@
 	})
 }
 
+// node returns a VM by its name, or by @ and the name of a call that ran there.
 func (s *stage) node(name string) (*ffdeployment.Node, error) {
+	if call, ok := strings.CutPrefix(name, "@"); ok {
+		return s.ranAt(call)
+	}
 	i := slices.IndexFunc(s.deployment.Nodes, func(n *ffdeployment.Node) bool { return n.VM.Name == name })
 	if i < 0 {
 		return nil, merry.Errorf("no VM %q", name)
