--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -59,9 +59,12 @@
 	d := &Deployment{
 		plan:           plan,
 		directory:      directory,
-		binaries:       &ffprocess.Binaries{Directory: filepath.Join(directory, "bin")},
+		binaries:       plan.Binaries,
 		platformRelays: make(map[string]*ffrelay.Relay),
 	}
+	if d.binaries == nil {
+		d.binaries = &ffprocess.Binaries{Directory: filepath.Join(directory, "bin")}
+	}
 	if err := d.startAll(ctx); err != nil {
 		d.Close()
 		return nil, err
--- a/internal/ffdeployment/plan.go
+++ b/internal/ffdeployment/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffprocess"
 )
 
 // Plan describes a deployment. The zero value of each field has a default.
@@ -28,6 +29,8 @@
 	Targets TargetArgs
 	// DaemonArgs are further arguments of every daemon.
 	DaemonArgs []string
+	// Binaries builds the programs; those of the deployment alone when nil.
+	Binaries *ffprocess.Binaries
 	// WithoutTargets starts daemons without targets, to measure control alone.
 	WithoutTargets bool
 }
--- a/internal/ffgate/ledger.go
+++ b/internal/ffgate/ledger.go
@@ -20,7 +20,7 @@
 
 // keep takes up a record that has ended.
 func (l *ledger) keep(r *record) {
-	if !r.barred && (!r.durable || r.notRun()) {
+	if r.mayGo() {
 		r.evictable = l.evictable.PushBack(r)
 	}
 	if r.reply != nil {
--- a/internal/ffgate/record.go
+++ b/internal/ffgate/record.go
@@ -66,6 +66,12 @@
 
 func (r *record) notRun() bool { return r.refusal != nil && r.refusal.Outcome == ffcall.OutcomeNotRun }
 
+// mayGo reports whether an ended record may be forgotten before its time. One that
+// bars a call, or spends a token, must stay.
+func (r *record) mayGo() bool {
+	return !r.barred && (!r.durable || r.notRun()) && !r.hasToken
+}
+
 // answers adds an attempt that this record answers.
 func (r *record) answers(k callKey) bool {
 	if len(r.calls) >= maxCalls {
