Limits: tokens go to daemons that hold a permit; asks of many daemons stay bounded

A careless customer at 300 daemons of 3 data centres, 100 calls a second and 50 in flight by contract, got 88 calls through in 4 s: tokens went to daemons without a permit, and each asked every 2 s whether or not it could use any. Idle accounts are forgotten.

--- a/internal/fflimit/account.go
+++ b/internal/fflimit/account.go
@@ -21,6 +21,9 @@
 	maxSurge = 64
 )
 
+// forgetAccount is the time after which an account without calls is forgotten.
+const forgetAccount = 10 * time.Minute
+
 // account is what one daemon holds for one customer.
 type account struct {
 	mu       sync.Mutex
@@ -75,7 +78,11 @@
 	count, position := f.members(&all[i], c.Customer)
 	a.own = static.ofDaemon(position, count)
 	a.cell = all[i].name
+	before := a.allocator.Name
 	a.allocator, a.reachable = f.allocator(&all[i], c.Customer)
+	if a.allocator.Name != before && !a.asking {
+		a.askAt = time.Time{}
+	}
 	if fresh {
 		a.static.level = a.own.burst
 	}
@@ -209,6 +216,13 @@
 	a.grantedUntil = time.Time{}
 }
 
+// idle reports whether nothing has used the account for so long that it may be forgotten.
+func (a *account) idle(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inUse == 0 && !a.asking && now.Sub(a.usedAt) > forgetAccount
+}
+
 // allocatorVM returns the VM that allocates for the own cell.
 func (a *account) allocatorVM() ffmember.VM {
 	a.mu.Lock()
--- a/internal/fflimit/allocation.go
+++ b/internal/fflimit/allocation.go
@@ -83,9 +83,13 @@
 	}
 	h.seq, h.askedAt, h.loan = q.Seq, now, q.Loan
 	h.demand, h.wanted = q.Demand, q.Permits
-	r.Tokens = a.grantTokens(h, q.Tokens, now)
 	r.Permits = a.grantPermits(h, q, now)
-	r.Wait = a.wait(q, r, now)
+	h.served = r.Permits > 0 || q.Permits == 0
+	if h.served || q.Loan {
+		r.Tokens = a.grantTokens(h, q.Tokens, now)
+	}
+	r.Wait = a.wait(h, q, r, now)
+	h.activeUntil = now.Add(r.Wait + activeMargin)
 	return r
 }
 
@@ -109,18 +113,19 @@
 }
 
 // wait returns the time that the holder shall leave before its next ask, so that
-// many holders together do not ask too often.
-func (a *allocation) wait(q Ask, r Answer, now time.Time) time.Duration {
+// many holders together do not ask too often. Those that have no permit, and
+// could use no token, ask as often all together as those that have.
+func (a *allocation) wait(one *holder, q Ask, r Answer, now time.Time) time.Duration {
 	if q.Loan {
 		return a.loanWait(q, r, now)
 	}
-	active := 0
+	alike := 1
 	for _, h := range a.holders {
-		if h.active(now) {
-			active++
+		if h != one && h.active(now) && h.served == one.served {
+			alike++
 		}
 	}
-	wait := time.Duration(active) * time.Second / reportersPerSecond
+	wait := time.Duration(alike) * time.Second / reportersPerSecond
 	return min(max(wait, minAskInterval), maxAskInterval)
 }
 
@@ -151,9 +156,14 @@
 }
 
 // fraction returns the part of what is there that a holder may take at once, by
-// its share of the demand of all.
+// its share of the demand of all that hold permits.
 func (a *allocation) fraction(h *holder, now time.Time) float64 {
-	total := a.demand(now)
+	total := 0.0
+	for _, other := range a.holders {
+		if other.served && other.active(now) || other == h {
+			total += other.demand
+		}
+	}
 	if total <= a.part.rate || total <= 0 {
 		return 1
 	}
--- a/internal/fflimit/allocator.go
+++ b/internal/fflimit/allocator.go
@@ -27,7 +27,7 @@
 func (o *allocator) answer(c *ffconfig.Contract, f *Fleet, q Ask, now time.Time) Answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	refused := Answer{Customer: q.Customer, Cell: q.Cell, Seq: q.Seq, Wait: maxAskInterval}
+	refused := Answer{Customer: q.Customer, Cell: q.Cell, Seq: q.Seq, Wait: refusedWait}
 	at := place{customer: q.Customer, cell: q.Cell}
 	a := o.allocations[at]
 	if a == nil {
--- a/internal/fflimit/exchange_test.go
+++ b/internal/fflimit/exchange_test.go
@@ -87,3 +87,38 @@
 		t.Fatalf("%d calls passed at once, the static part is %d", passed, want)
 	}
 }
+
+func BenchmarkAdmit(b *testing.B) {
+	l := &Limiter{}
+	c := contract(1e6, 1_000_000, 1_000_000)
+	now := time.Now()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			permit, err := l.Admit(c, now)
+			if err == nil {
+				permit.Release()
+			}
+		}
+	})
+}
+
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	l := &Limiter{}
+	c := contract(10, 10, 10)
+	now := time.Now()
+	permit, err := l.Admit(c, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := l.accountOf(c.Customer)
+	l.forget(now.Add(time.Hour))
+	if l.accountOf(c.Customer) != a {
+		t.Fatal("an account with a call in flight was forgotten")
+	}
+	permit.Release()
+	l.forget(now.Add(time.Hour))
+	if l.accountOf(c.Customer) == a {
+		t.Fatal("an idle account was kept")
+	}
+}
--- a/internal/fflimit/handler.go
+++ b/internal/fflimit/handler.go
@@ -38,7 +38,7 @@
 func (h *Handler) answer(contracts Contracts, q Ask, now time.Time) Answer {
 	c, ok := contracts.Contract(q.Customer)
 	if !ok {
-		return Answer{Seq: q.Seq, Wait: maxAskInterval}
+		return Answer{Seq: q.Seq, Wait: refusedWait}
 	}
 	return h.Limiter.Answer(c, q, now)
 }
--- a/internal/fflimit/holder.go
+++ b/internal/fflimit/holder.go
@@ -6,11 +6,18 @@
 // longer than an ask can be under way.
 const forgetHolder = time.Minute
 
+// activeMargin is the time for which a holder's next ask may be late.
+const activeMargin = time.Second
+
 // holder is what an allocator knows of one that asks.
 type holder struct {
 	seq     uint64
 	askedAt time.Time
 	loan    bool
+	// served tells that it has the permits without which tokens are of no use.
+	served bool
+	// activeUntil is the time by which its next ask is due.
+	activeUntil time.Time
 	// demand is the number of calls a second that it sees.
 	demand float64
 	// wanted is the number of permits that it asked for.
@@ -31,6 +38,4 @@
 }
 
 // active reports whether the holder still asks.
-func (h *holder) active(now time.Time) bool {
-	return !h.loan && now.Sub(h.askedAt) <= maxAskInterval+minAskInterval
-}
+func (h *holder) active(now time.Time) bool { return !h.loan && now.Before(h.activeUntil) }
--- a/internal/fflimit/limit_test.go
+++ b/internal/fflimit/limit_test.go
@@ -228,4 +228,7 @@
 	if got, most := len(w.admitted), 100*5+w.slack(0); float64(got) > most {
 		t.Fatalf("%d calls passed in 5 s, at most %.0f may", got, most)
 	}
+	if got := len(w.admitted); got < 250 {
+		t.Fatalf("only %d calls passed in 5 s, half of the contract is 250", got)
+	}
 }
--- a/internal/fflimit/limiter.go
+++ b/internal/fflimit/limiter.go
@@ -129,6 +129,15 @@
 	}
 }
 
+// forget drops the accounts of customers that have long made no calls.
+func (l *Limiter) forget(now time.Time) {
+	for customer, a := range l.accounts.Range {
+		if a.(*account).idle(now) {
+			l.accounts.Delete(customer)
+		}
+	}
+}
+
 func (l *Limiter) currentFleet() *Fleet {
 	if f := l.fleet.Load(); f != nil {
 		return f
--- a/internal/fflimit/term.go
+++ b/internal/fflimit/term.go
@@ -29,10 +29,13 @@
 // Times between asks.
 const (
 	minAskInterval = 100 * time.Millisecond
-	maxAskInterval = 2 * time.Second
+	maxAskInterval = 20 * time.Second
 	tradeInterval  = 250 * time.Millisecond
 	// failedAskWait is the time between asks while the allocator does not answer.
 	failedAskWait = 500 * time.Millisecond
-	// reportersPerSecond is the number of asks a second that an allocator takes for one customer.
-	reportersPerSecond = 50
+	// refusedWait is the time between asks while the other side does not allocate.
+	refusedWait = time.Second
+	// reportersPerSecond is the number of asks a second that an allocator takes for
+	// one customer, from those that hold permits and as many from those that do not.
+	reportersPerSecond = 25
 )
--- a/internal/fflimit/trader.go
+++ b/internal/fflimit/trader.go
@@ -7,6 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// sweepInterval is the time between two searches for accounts to forget.
+const sweepInterval = time.Minute
+
 // trader finds out when a cell lacks something and has the other cells asked.
 type trader struct {
 	exchange *Exchange
@@ -15,12 +18,16 @@
 
 // run looks for lacks until the context ends.
 func (t *trader) run(ctx context.Context) {
-	ticker := time.NewTicker(tradeTick)
-	defer ticker.Stop()
+	trades := time.NewTicker(tradeTick)
+	defer trades.Stop()
+	sweeps := time.NewTicker(sweepInterval)
+	defer sweeps.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-trades.C:
 			t.trade()
+		case <-sweeps.C:
+			t.exchange.Limiter.forget(t.exchange.Clock())
 		case <-ctx.Done():
 			return
 		}
