--- /dev/null
+++ b/internal/ffcommand/check.go
@@ -0,0 +1,23 @@
+package ffcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+// Check reports every fault of a directory of declarations.
+type Check struct {
+	Dir string `arg:"positional,required" placeholder:"DIR" help:"directory with contracts, services and routes"`
+}
+
+// Run checks the declarations.
+func (c *Check) Run(_ context.Context, stdout, stderr io.Writer) error {
+	b, err := buildDirectory("check", c.Dir, trialNumber, stderr)
+	if err != nil {
+		return err
+	}
+	s := b.Snapshot
+	_, err = fmt.Fprintf(stdout, "%s: %d contracts, %d services, %d routes: no fault\n", c.Dir, len(s.Customers()), len(s.Services()), len(s.Routes()))
+	return err
+}
--- /dev/null
+++ b/internal/ffmember/view.go
@@ -0,0 +1,272 @@
+package ffmember
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Bounds of the evidence that a view holds.
+const (
+	// MaxEvidence is the number of VMs for which a view holds evidence.
+	MaxEvidence = 2048
+	// MaxEvidenceLife bounds the time until evidence expires.
+	MaxEvidenceLife = 10 * time.Minute
+	// MaxFieldBytes bounds each text of a VM in evidence, in bytes.
+	MaxFieldBytes = 255
+)
+
+// View is what one daemon knows of all VMs, immutable. The zero value is empty.
+type View struct {
+	list     *List
+	evidence map[string]Evidence
+	// suspects are VMs that did not answer this daemon, until the time given.
+	// They stay local, so that a partition does not spread accusations.
+	suspects map[string]time.Time
+
+	once   sync.Once
+	groups groups
+	digest uint64
+
+	allOnce sync.Once
+	all     []VM
+}
+
+// List returns the latest list of the platform that the view knows.
+func (v *View) List() *List {
+	if v.list == nil {
+		return &List{}
+	}
+	return v.list
+}
+
+// WithList returns the view with the list, or the view itself when the list is not newer.
+func (v *View) WithList(l *List) *View {
+	if !l.NewerThan(v.List()) {
+		return v
+	}
+	return &View{list: l, evidence: v.evidence, suspects: v.suspects}
+}
+
+// WithEvidence returns the view with the evidence merged in, or the view itself
+// when it tells nothing new. Evidence that has expired at now is ignored.
+func (v *View) WithEvidence(now time.Time, all ...Evidence) *View {
+	merged := maps.Clone(v.evidence)
+	if merged == nil {
+		merged = make(map[string]Evidence)
+	}
+	changed := false
+	for _, e := range all {
+		if !admissible(now, e) {
+			continue
+		}
+		known, ok := merged[e.VM.Name]
+		if ok && known.covers(e) {
+			continue
+		}
+		if ok {
+			e = known.merge(e)
+		}
+		merged[e.VM.Name] = e
+		changed = true
+	}
+	if !changed {
+		return v
+	}
+	bound(merged)
+	return &View{list: v.list, evidence: merged, suspects: v.suspects}
+}
+
+func admissible(now time.Time, e Evidence) bool {
+	if !e.Expires.After(now) || e.Expires.After(now.Add(MaxEvidenceLife)) {
+		return false
+	}
+	if e.State < StateLive || e.State > StateGone || e.VM.Name == "" {
+		return false
+	}
+	longest := max(len(e.VM.Name), len(e.VM.DataCentre), len(e.VM.Service), len(e.VM.PeerAddress), len(e.VM.ForwardAddress), len(e.VM.OperatorAddress))
+	return longest <= MaxFieldBytes
+}
+
+// bound drops the evidence that expires first, then by name, above the bound.
+func bound(evidence map[string]Evidence) {
+	if len(evidence) <= MaxEvidence {
+		return
+	}
+	names := slices.SortedFunc(maps.Keys(evidence), func(a, b string) int {
+		if c := evidence[a].Expires.Compare(evidence[b].Expires); c != 0 {
+			return c
+		}
+		return compareVM(evidence[a].VM, evidence[b].VM)
+	})
+	for _, name := range names[:len(names)-MaxEvidence] {
+		delete(evidence, name)
+	}
+}
+
+// WithSuspect returns the view in which this daemon passes over the VM until the time given.
+func (v *View) WithSuspect(name string, until time.Time) *View {
+	suspects := maps.Clone(v.suspects)
+	if suspects == nil {
+		suspects = make(map[string]time.Time)
+	}
+	suspects[name] = until
+	return &View{list: v.list, evidence: v.evidence, suspects: suspects}
+}
+
+// WithoutSuspect returns the view in which the VM has answered.
+func (v *View) WithoutSuspect(name string) *View {
+	if _, ok := v.suspects[name]; !ok {
+		return v
+	}
+	suspects := maps.Clone(v.suspects)
+	delete(suspects, name)
+	return &View{list: v.list, evidence: v.evidence, suspects: suspects}
+}
+
+// WithoutExpired returns the view without what has expired at now, or the view
+// itself when nothing has.
+func (v *View) WithoutExpired(now time.Time) *View {
+	evidence := maps.Clone(v.evidence)
+	maps.DeleteFunc(evidence, func(_ string, e Evidence) bool { return !e.Expires.After(now) })
+	suspects := maps.Clone(v.suspects)
+	maps.DeleteFunc(suspects, func(_ string, until time.Time) bool { return !until.After(now) })
+	if len(evidence) == len(v.evidence) && len(suspects) == len(v.suspects) {
+		return v
+	}
+	return &View{list: v.list, evidence: evidence, suspects: suspects}
+}
+
+// Evidence returns all evidence, by name of the VM.
+func (v *View) Evidence() []Evidence {
+	all := make([]Evidence, 0, len(v.evidence))
+	for _, name := range slices.Sorted(maps.Keys(v.evidence)) {
+		all = append(all, v.evidence[name])
+	}
+	return all
+}
+
+// Incarnation returns the latest incarnation of a VM that evidence shows; zero when none does.
+func (v *View) Incarnation(name string) Incarnation { return v.evidence[name].Incarnation }
+
+// HasSuspects reports whether any VM did not answer this daemon lately.
+func (v *View) HasSuspects() bool { return len(v.suspects) > 0 }
+
+// Suspect reports whether the VM did not answer this daemon lately.
+func (v *View) Suspect(name string) bool {
+	_, ok := v.suspects[name]
+	return ok
+}
+
+// VM returns a VM by name with the state that the view gives it, and false when it is gone.
+func (v *View) VM(name string) (VM, bool) {
+	vm, ok := v.List().VM(name)
+	if e, shown := v.evidence[name]; shown {
+		vm, ok = overlay(vm, e), true
+	}
+	return vm, ok && vm.State != StateGone
+}
+
+// All returns the live VMs, by name. The caller must not change the slice.
+func (v *View) All() []VM {
+	v.allOnce.Do(v.buildAll)
+	return v.all
+}
+
+// Live returns the live VMs of a service, by name. The caller must not change the slice.
+func (v *View) Live(service string) []VM {
+	v.once.Do(v.build)
+	return v.groups.byService[service]
+}
+
+// InDataCentre returns the live VMs of a data centre, by name. The caller must not change the slice.
+func (v *View) InDataCentre(dataCentre string) []VM {
+	v.once.Do(v.build)
+	return v.groups.byDataCentre[dataCentre]
+}
+
+// DataCentres returns the data centres that have a live VM, sorted.
+func (v *View) DataCentres() []string {
+	v.once.Do(v.build)
+	return slices.Sorted(maps.Keys(v.groups.byDataCentre))
+}
+
+// EvidenceDigest returns a hash of all evidence.
+func (v *View) EvidenceDigest() uint64 {
+	v.once.Do(v.build)
+	return v.digest
+}
+
+// build groups the live VMs; the groups that evidence does not touch are those of the list.
+func (v *View) build() {
+	base := v.List().live()
+	v.groups.byDataCentre = maps.Clone(base.byDataCentre)
+	v.groups.byService = maps.Clone(base.byService)
+	shown := v.shown()
+	dataCentres, services := make(map[string]bool), make(map[string]bool)
+	for name, e := range v.evidence {
+		v.digest += e.hash()
+		listed, _ := v.List().VM(name)
+		for _, vm := range []VM{listed, e.VM} {
+			dataCentres[vm.DataCentre] = true
+			services[vm.Service] = true
+		}
+	}
+	for d := range dataCentres {
+		v.replace(v.groups.byDataCentre, d, shown, func(vm VM) bool { return vm.DataCentre == d })
+	}
+	for s := range services {
+		v.replace(v.groups.byService, s, shown, func(vm VM) bool { return vm.Service == s })
+	}
+}
+
+func (v *View) replace(byKey map[string][]VM, key string, shown []VM, belongs func(VM) bool) {
+	group := regroup(byKey[key], v.evidence, shown, belongs)
+	if len(group) == 0 {
+		delete(byKey, key)
+		return
+	}
+	byKey[key] = group
+}
+
+// shown returns the VMs that evidence shows as live.
+func (v *View) shown() []VM {
+	var shown []VM
+	for name, e := range v.evidence {
+		listed, _ := v.List().VM(name)
+		if vm := overlay(listed, e); vm.State == StateLive {
+			shown = append(shown, vm)
+		}
+	}
+	return shown
+}
+
+func (v *View) buildAll() {
+	v.all = regroup(v.List().live().all, v.evidence, v.shown(), func(VM) bool { return true })
+}
+
+// overlay returns the VM as evidence shows it. The list says leaving before the
+// daemon does, so that a live daemon does not take it back.
+func overlay(listed VM, e Evidence) VM {
+	vm := e.VM
+	vm.State = e.State
+	if e.State == StateLive && listed.State == StateLeaving {
+		vm.State = StateLeaving
+	}
+	return vm
+}
+
+// EvidenceOf returns the evidence of a VM, and false when there is none.
+func (v *View) EvidenceOf(name string) (Evidence, bool) {
+	e, ok := v.evidence[name]
+	return e, ok
+}
+
+// WithoutEvidence returns the view with the list alone.
+func (v *View) WithoutEvidence() *View {
+	if len(v.evidence) == 0 && len(v.suspects) == 0 {
+		return v
+	}
+	return &View{list: v.list}
+}
