--- a/internal/fflimit/failure_test.go
+++ b/internal/fflimit/failure_test.go
@@ -105,7 +105,7 @@
 func TestTokensOfFormerLoadExpire(t *testing.T) {
 	w := quietWorld(newWorld(contract(100, 1, 100_000), 1, 30, 1))
 	for i := range w.daemons {
-		w.run(time.Second, only(100, i))
+		w.run(time.Second, only(60, i))
 	}
 	before := len(w.admitted)
 	w.run(time.Second, func(int) float64 { return 100 })
