--- a/internal/ffbalance/chooser.go
+++ b/internal/ffbalance/chooser.go
@@ -1,6 +1,7 @@
 package ffbalance
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,20 @@
 	f.learn(load, now)
 }
 
+// Shunned returns the names of the targets that are shunned now, sorted.
+func (c *Chooser) Shunned() []string {
+	var names []string
+	for _, g := range c.groups.Range {
+		for _, m := range g.(*group).members {
+			if m.facts.isShunned() {
+				names = append(names, m.vm.Name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (c *Chooser) factsOf(vm string) *facts {
 	if f, ok := c.vms.Load(vm); ok {
 		return f.(*facts)
--- a/internal/ffbalance/chooser_test.go
+++ b/internal/ffbalance/chooser_test.go
@@ -149,6 +149,9 @@
 		}
 		c.Finished(vm.Name, now, Result{Latency: 2 * time.Millisecond})
 	}
+	if got := c.Shunned(); !slices.Equal(got, []string{view[3].Name}) {
+		t.Fatalf("%v are shunned", got)
+	}
 	if toSilent > 12 {
 		t.Fatalf("%d calls went to a target that was silent for 3 s", toSilent)
 	}
