Limits: an ask before the first version is refused, not a panic

The daemon hands no contracts to the handler until a version is in force; an ask of another daemon then met a nil interface. The new test failed with a nil dereference before.

--- a/internal/fflimit/exchange_test.go
+++ b/internal/fflimit/exchange_test.go
@@ -122,3 +122,11 @@
 		t.Fatal("an idle account was kept")
 	}
 }
+
+func TestHandlerWithoutContractsGrantsNothing(t *testing.T) {
+	h := &Handler{Limiter: &Limiter{}, Contracts: func() Contracts { return nil }, Clock: time.Now}
+	resp, err := h.Ask(context.Background(), &ffprotocol.AskRequest{Asks: []*ffprotocol.LimitAsk{{Customer: "porter", Seq: 1, Tokens: 5}}})
+	if err != nil || len(resp.GetAnswers()) != 1 || resp.GetAnswers()[0].GetTokens() != 0 {
+		t.Fatalf("%v, %v", resp, err)
+	}
+}
--- a/internal/fflimit/handler.go
+++ b/internal/fflimit/handler.go
@@ -18,7 +18,7 @@
 type Handler struct {
 	// Limiter holds the allocations.
 	Limiter *Limiter
-	// Contracts returns the contracts in force now.
+	// Contracts returns the contracts in force now; nil while there are none.
 	Contracts func() Contracts
 	// Clock returns the time now.
 	Clock func() time.Time
@@ -36,6 +36,9 @@
 }
 
 func (h *Handler) answer(contracts Contracts, q Ask, now time.Time) Answer {
+	if contracts == nil {
+		return Answer{Seq: q.Seq, Wait: refusedWait}
+	}
 	c, ok := contracts.Contract(q.Customer)
 	if !ok {
 		return Answer{Seq: q.Seq, Wait: refusedWait}
