--- a/internal/ffforward/convert.go
+++ b/internal/ffforward/convert.go
@@ -48,12 +48,9 @@
 		VersionDigest:   string(c.Version.Digest),
 		Incarnation:     over.incarnation,
 		From:            from,
-<<<<<<< HEAD
 		Idempotent:      c.Route.Idempotent,
 		Resource:        c.Route.Resource,
-=======
 		DeadlineMicros:  over.clock.at(c.Deadline),
->>>>>>> calls
 	}
 	r.Checksum = requestChecksum(r)
 	return r
--- a/internal/fflimit/exchange_test.go
+++ b/internal/fflimit/exchange_test.go
@@ -87,3 +87,46 @@
 		t.Fatalf("%d calls passed at once, the static part is %d", passed, want)
 	}
 }
+
+func BenchmarkAdmit(b *testing.B) {
+	l := &Limiter{}
+	c := contract(1e6, 1_000_000, 1_000_000)
+	now := time.Now()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			permit, err := l.Admit(c, now)
+			if err == nil {
+				permit.Release()
+			}
+		}
+	})
+}
+
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	l := &Limiter{}
+	c := contract(10, 10, 10)
+	now := time.Now()
+	permit, err := l.Admit(c, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := l.accountOf(c.Customer)
+	l.forget(now.Add(time.Hour))
+	if l.accountOf(c.Customer) != a {
+		t.Fatal("an account with a call in flight was forgotten")
+	}
+	permit.Release()
+	l.forget(now.Add(time.Hour))
+	if l.accountOf(c.Customer) == a {
+		t.Fatal("an idle account was kept")
+	}
+}
+
+func TestHandlerWithoutContractsGrantsNothing(t *testing.T) {
+	h := &Handler{Limiter: &Limiter{}, Contracts: func() Contracts { return nil }, Clock: time.Now}
+	resp, err := h.Ask(context.Background(), &ffprotocol.AskRequest{Asks: []*ffprotocol.LimitAsk{{Customer: "porter", Seq: 1, Tokens: 5}}})
+	if err != nil || len(resp.GetAnswers()) != 1 || resp.GetAnswers()[0].GetTokens() != 0 {
+		t.Fatalf("%v, %v", resp, err)
+	}
+}
