--- a/internal/ffdeployment/applied.go
+++ b/internal/ffdeployment/applied.go
@@ -48,8 +48,13 @@
 		return true
 	})
 	if err != nil {
-		lines := n.Daemon.Lines()
-		return at, &Error{Op: "await version", Kind: KindDeadline, Err: merry.Errorf("%w: last lines %q", err, lines[max(0, len(lines)-shownLines):])}
+		return at, &Error{Op: "await version", Kind: KindDeadline, Err: merry.Errorf("%w: last lines %q", err, n.lastLines())}
 	}
 	return at, nil
 }
+
+// lastLines returns the latest log lines of the daemon.
+func (n *Node) lastLines() []ffprocess.Line {
+	lines := n.Daemon.Lines()
+	return lines[max(0, len(lines)-shownLines):]
+}
--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -309,7 +309,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return time.Time{}, &Error{Op: "await version", Kind: KindDeadline, Err: merry.Errorf("%s has %s, wanted is %s: %w", n.VM.Name, s.Version, v, ctx.Err())}
+			return time.Time{}, &Error{Op: "await version", Kind: KindDeadline, Err: merry.Errorf("%s has %s, wanted is %s: %w: last lines %q", n.VM.Name, s.Version, v, ctx.Err(), n.lastLines())}
 		case <-ticker.C:
 		}
 	}
--- a/internal/ffprocess/address.go
+++ b/internal/ffprocess/address.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -17,6 +18,28 @@
 	maxPortTries = 1000
 )
 
+// portSet holds the ports that this program has given out, each only once.
+type portSet struct {
+	mu    sync.Mutex
+	ports map[uint16]bool
+}
+
+var given portSet
+
+// take reports whether the port was not given out before.
+func (s *portSet) take(port uint16) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ports[port] {
+		return false
+	}
+	if s.ports == nil {
+		s.ports = make(map[uint16]bool)
+	}
+	s.ports[port] = true
+	return true
+}
+
 // FreeAddresses returns n different loopback addresses (host and port) on which
 // nothing listens now.
 func FreeAddresses(n int) ([]string, error) {
@@ -40,8 +63,11 @@
 
 func listenAnywhere(host netip.Addr) (net.Listener, error) {
 	for range maxPortTries {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		listener, err := net.Listen("tcp", netip.AddrPortFrom(host, uint16(port)).String())
+		address := netip.AddrPortFrom(host, uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		if !given.take(address.Port()) {
+			continue
+		}
+		listener, err := net.Listen("tcp", address.String())
 		if err == nil {
 			return listener, nil
 		}
--- a/internal/ffrelay/relay.go
+++ b/internal/ffrelay/relay.go
@@ -1,8 +1,10 @@
 package ffrelay
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -11,6 +13,13 @@
 // dialTimeout bounds the time in which upstream must accept a connection.
 const dialTimeout = 2 * time.Second
 
+const (
+	// listenTries bounds the tries to listen on an address that is in use.
+	listenTries = 100
+	// listenPause is the time between them.
+	listenPause = 10 * time.Millisecond
+)
+
 // Relay passes connections from one address on to another.
 type Relay struct {
 	address  string
@@ -86,7 +95,7 @@
 	if r.listener != nil || r.detached {
 		return nil
 	}
-	listener, err := net.Listen("tcp", r.address)
+	listener, err := listenSoon(r.address)
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
@@ -96,6 +105,19 @@
 	return nil
 }
 
+// listenSoon listens on an address and tries again while it is in use: a process
+// that is being started elsewhere in this program holds a closed port until its exec.
+func listenSoon(address string) (net.Listener, error) {
+	for range listenTries {
+		listener, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+		time.Sleep(listenPause)
+	}
+	return net.Listen("tcp", address)
+}
+
 // cut closes the listener and resets every connection.
 func (r *Relay) cut() {
 	if r.listener != nil {
