--- a/internal/ffprocess/process.go
+++ b/internal/ffprocess/process.go
@@ -45,8 +45,13 @@
 	return nil
 }
 
-// Freeze stops the process until Wake.
-func (p *Process) Freeze() error { return p.signal("freeze", syscall.SIGSTOP) }
+// Freeze stops the process until Wake, and returns when it stands still.
+func (p *Process) Freeze() error {
+	if err := p.signal("freeze", syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return p.awaitStopped()
+}
 
 // Wake lets a frozen process go on.
 func (p *Process) Wake() error { return p.signal("wake", syscall.SIGCONT) }
--- a/internal/ffproof/judge_test.go
+++ b/internal/ffproof/judge_test.go
@@ -78,7 +78,7 @@
 	})
 }
 
-// ranAt returns the VM whose target ran the call.
+// ranAt returns the VM whose target ran the call first.
 func (s *stage) ranAt(name string) (*ffdeployment.Node, error) {
 	c, err := s.call(name)
 	if err != nil {
@@ -91,7 +91,8 @@
 	if len(byPath[c.path]) == 0 {
 		return nil, merry.Errorf("%s has not run", name)
 	}
-	return s.node(byPath[c.path][0].Target)
+	first := slices.MinFunc(byPath[c.path], func(a, b ffstand.Execution) int { return a.Started.Compare(b.Started) })
+	return s.node(first.Target)
 }
 
 func (s *stage) running(args []string) error {
--- a/internal/ffproof/stage_test.go
+++ b/internal/ffproof/stage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -22,6 +23,8 @@
 const (
 	// generous bounds what must come, and is not measured.
 	generous = 60 * time.Second
+	// reportTimeout bounds one look at a daemon after a failure.
+	reportTimeout = time.Second
 	// pollInterval is the time between two looks.
 	pollInterval = 5 * time.Millisecond
 )
@@ -145,11 +148,23 @@
 	ctx, cancel := s.within()
 	defer cancel()
 	if _, err := s.deployment.AwaitVersion(ctx, nodes, s.version); err != nil {
-		return err
+		return errors.Join(err, s.report(nodes))
 	}
 	return s.awaitFleet(nodes)
 }
 
+// report returns what the daemons say of themselves.
+func (s *stage) report(nodes []*ffdeployment.Node) error {
+	var all []error
+	for _, n := range nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		v, err := n.Status(ctx)
+		cancel()
+		all = append(all, merry.Errorf("%s: %+v, %w, %q", n.VM.Name, v, err, n.Daemon.Lines()))
+	}
+	return errors.Join(all...)
+}
+
 // awaitFleet waits until the daemons know every VM.
 func (s *stage) awaitFleet(nodes []*ffdeployment.Node) error {
 	return s.awaitStatus(nodes, "a whole view", func(v ffoperator.Status) bool {
@@ -169,7 +184,7 @@
 	})
 }
 
-// node returns a VM by its name, or by @ and the name of a call that ran there.
+// node returns a VM by its name, or by @ and the name of a call that ran there first.
 func (s *stage) node(name string) (*ffdeployment.Node, error) {
 	if call, ok := strings.CutPrefix(name, "@"); ok {
 		return s.ranAt(call)
