--- a/internal/ffbalance/chooser.go
+++ b/internal/ffbalance/chooser.go
@@ -1,6 +1,7 @@
 package ffbalance
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,20 @@
 	f.learn(load, now)
 }
 
+// Shunned returns the names of the targets that are shunned now, sorted.
+func (c *Chooser) Shunned() []string {
+	var names []string
+	for _, g := range c.groups.Range {
+		for _, m := range g.(*group).members {
+			if m.facts.isShunned() {
+				names = append(names, m.vm.Name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (c *Chooser) factsOf(vm string) *facts {
 	if f, ok := c.vms.Load(vm); ok {
 		return f.(*facts)
@@ -135,6 +150,9 @@
 	if epoch := c.epoch.Load(); epoch != nil {
 		return int64(now.Sub(*epoch))
 	}
-	c.epoch.CompareAndSwap(nil, &now)
+	c.start(now)
 	return 0
 }
+
+// start keeps the time of the first use.
+func (c *Chooser) start(now time.Time) { c.epoch.CompareAndSwap(nil, &now) }
--- a/internal/ffdistribution/store.go
+++ b/internal/ffdistribution/store.go
@@ -108,7 +108,7 @@
 	if slices.Contains(s.refused, refusal{version: v, final: true}) {
 		return &Error{Op: "apply", Kind: KindRefused, Err: merry.Errorf("%v was refused before", v)}
 	}
-	snapshot, err := newSnapshot(m, v, pieces)
+	snapshot, err := newSnapshot(s.Snapshot(), m, v, pieces)
 	if err != nil {
 		return s.fault(v, err)
 	}
@@ -116,11 +116,12 @@
 	return nil
 }
 
-func newSnapshot(m ffconfig.Manifest, v ffconfig.Version, pieces map[ffconfig.Digest][]byte) (*ffconfig.Snapshot, error) {
+// newSnapshot takes unchanged pieces over from the snapshot in force; old may be nil.
+func newSnapshot(old *ffconfig.Snapshot, m ffconfig.Manifest, v ffconfig.Version, pieces map[ffconfig.Digest][]byte) (*ffconfig.Snapshot, error) {
 	if size := totalSize(m); size > MaxVersionBytes {
 		return nil, &ffconfig.Error{Op: "apply", Kind: ffconfig.KindTooLarge, Err: merry.Errorf("%d bytes of pieces, at most %d", size, MaxVersionBytes)}
 	}
-	return ffconfig.NewSnapshot(m, v, pieces)
+	return old.Next(m, v, pieces)
 }
 
 func totalSize(m ffconfig.Manifest) int {
@@ -159,7 +160,7 @@
 	}
 	s.refused = appendBounded(s.refused, r, maxRefused)
 	s.counts.refused.Add(1)
-	s.record(ffaudit.KindVersionRefused, "", r.version, reason.Error())
+	s.record(ffaudit.KindVersionRefused, r.version, reason.Error())
 }
 
 func (s *Store) swap(snapshot *ffconfig.Snapshot, manifest []byte, pieces map[ffconfig.Digest][]byte) {
@@ -175,31 +176,12 @@
 	}
 	s.inForce.Store(next)
 	s.counts.applied.Add(1)
-	s.record(ffaudit.KindVersionApplied, "", snapshot.Version(), "in force")
-	s.auditContracts(next.history)
+	s.record(ffaudit.KindVersionApplied, snapshot.Version(), "in force")
 	if s.OnApply != nil {
 		s.OnApply(oldSnapshot, snapshot)
 	}
 }
 
-// auditContracts records which contracts the last step changed.
-func (s *Store) auditContracts(h history) {
-	if len(h) == 0 {
-		return
-	}
-	last := h[len(h)-1]
-	for _, p := range last.put {
-		if p.Kind == ffconfig.PieceContract {
-			s.record(ffaudit.KindContractChanged, p.Name, s.Version(), "contract added or amended")
-		}
-	}
-	for _, p := range last.removed {
-		if p.Kind == ffconfig.PieceContract {
-			s.record(ffaudit.KindContractChanged, p.Name, s.Version(), "contract removed")
-		}
-	}
-}
-
 // Observe audits that a version was seen whose number the version in force carries with other content.
 func (s *Store) Observe(v ffconfig.Version) {
 	current := s.Version()
@@ -213,7 +195,7 @@
 	}
 	s.conflicts = appendBounded(s.conflicts, v, maxRefused)
 	s.counts.conflicts.Add(1)
-	s.record(ffaudit.KindVersionConflict, "", v, "same number as "+current.String()+" with other content")
+	s.record(ffaudit.KindVersionConflict, v, "same number as "+current.String()+" with other content")
 }
 
 // manifestSince answers with the manifest in force, as a difference from base
@@ -221,6 +203,7 @@
 func (s *Store) manifestSince(base ffconfig.Version, whole bool, from *ffprotocol.Summary) *ffprotocol.ManifestResponse {
 	f := s.inForce.Load()
 	from.Version = versionOut(f.snapshot.Version())
+	from.Seal()
 	out := &ffprotocol.ManifestResponse{From: from}
 	change, ok := f.history.since(base)
 	if whole || !ok {
@@ -243,11 +226,11 @@
 	return content, ok
 }
 
-func (s *Store) record(kind ffaudit.Kind, subject string, v ffconfig.Version, detail string) {
+func (s *Store) record(kind ffaudit.Kind, v ffconfig.Version, detail string) {
 	if s.Audit == nil {
 		return
 	}
-	s.Audit.Record(ffaudit.Event{Kind: kind, Subject: subject, Version: v.String(), Detail: detail})
+	s.Audit.Record(ffaudit.Event{Kind: kind, Version: v.String(), Detail: detail})
 }
 
 // appendBounded appends v and drops the oldest above the bound.
--- a/internal/ffforward/convert.go
+++ b/internal/ffforward/convert.go
@@ -48,6 +48,8 @@
 		VersionDigest:   string(c.Version.Digest),
 		Incarnation:     over.incarnation,
 		From:            from,
+		Idempotent:      c.Route.Idempotent,
+		Resource:        c.Route.Resource,
 		DeadlineMicros:  over.clock.at(c.Deadline),
 	}
 	r.Checksum = requestChecksum(r)
--- a/internal/fflimit/account.go
+++ b/internal/fflimit/account.go
@@ -17,8 +17,13 @@
 	lowWaterSeconds = 0.25
 	// permitHeadroom is the multiple of the permits in use that a daemon asks for.
 	permitHeadroom = 1.25
+	// maxSurge bounds the multiple of the expected calls that a daemon asks for.
+	maxSurge = 64
 )
 
+// forgetAccount is the time after which an account without calls is forgotten.
+const forgetAccount = 10 * time.Minute
+
 // account is what one daemon holds for one customer.
 type account struct {
 	mu       sync.Mutex
@@ -51,6 +56,9 @@
 	askAt time.Time
 	// exhausted tells that the last answer left a want unmet.
 	exhausted bool
+	// surge is the multiple of the expected calls to ask for; it doubles while
+	// tokens run out between two regular asks.
+	surge int
 }
 
 // place works out the parts again when the contract or the fleet has changed.
@@ -70,7 +78,11 @@
 	count, position := f.members(&all[i], c.Customer)
 	a.own = static.ofDaemon(position, count)
 	a.cell = all[i].name
+	before := a.allocator.Name
 	a.allocator, a.reachable = f.allocator(&all[i], c.Customer)
+	if a.allocator.Name != before && !a.asking {
+		a.askAt = time.Time{}
+	}
 	if fresh {
 		a.static.level = a.own.burst
 	}
@@ -104,11 +116,20 @@
 	return ShortageNone
 }
 
-// wants reports whether an ask is due.
-func (a *account) wants(now time.Time) bool {
-	if !a.reachable || a.asking || now.Before(a.askAt) {
+// wants reports whether an ask is due. A call that lacks something need not wait
+// for the next time to ask while the allocator has had all that was asked for.
+func (a *account) wants(shortage Shortage, now time.Time) bool {
+	if !a.reachable || a.asking {
 		return false
 	}
+	if now.Before(a.askAt) {
+		if shortage == ShortageNone || a.exhausted {
+			return false
+		}
+		a.surge = min(2*a.surge, maxSurge)
+		return true
+	}
+	a.surge = 1
 	lasting := now.Before(a.grantedUntil.Add(-permitTerm / 2))
 	return !lasting || a.inUse >= a.permits(now) || a.tokens.left(now) < a.ahead(lowWaterSeconds, now)
 }
@@ -122,6 +143,7 @@
 // begin notes that an ask is under way.
 func (a *account) begin() {
 	a.asking = true
+	a.exhausted = false
 	a.answered = make(chan struct{})
 }
 
@@ -134,7 +156,7 @@
 		Cell:     a.cell,
 		Holder:   holder,
 		Seq:      a.seq,
-		Tokens:   max(a.ahead(horizonSeconds, now)-a.tokens.left(now), 0),
+		Tokens:   a.tokensWanted(now),
 		Permits:  a.permitsWanted(),
 		Demand:   a.calls.rate(now),
 	}
@@ -146,9 +168,14 @@
 	return q
 }
 
+func (a *account) tokensWanted(now time.Time) int {
+	most := max(a.contract.Burst, int(a.contract.RatePerSecond*horizonSeconds), 1)
+	return max(min(a.ahead(horizonSeconds, now)*a.surge, most)-a.tokens.left(now), 0)
+}
+
 func (a *account) permitsWanted() int {
 	busy := a.inUse + a.unmet
-	want := int(math.Ceil(float64(busy)*permitHeadroom)) + 1
+	want := (int(math.Ceil(float64(busy)*permitHeadroom)) + 1) * a.surge
 	return min(max(want-a.own.permits, 0), a.contract.Concurrency)
 }
 
@@ -189,6 +216,13 @@
 	a.grantedUntil = time.Time{}
 }
 
+// idle reports whether nothing has used the account for so long that it may be forgotten.
+func (a *account) idle(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inUse == 0 && !a.asking && now.Sub(a.usedAt) > forgetAccount
+}
+
 // allocatorVM returns the VM that allocates for the own cell.
 func (a *account) allocatorVM() ffmember.VM {
 	a.mu.Lock()
--- a/internal/fflimit/limiter.go
+++ b/internal/fflimit/limiter.go
@@ -85,7 +85,7 @@
 // this daemon allocates, from what it grants itself at once.
 func (l *Limiter) pass(a *account, now time.Time) (Permit, *ffcall.Error) {
 	shortage := a.take(now)
-	if a.wants(now) && l.ask(a, now) && shortage != ShortageNone {
+	if a.wants(shortage, now) && l.ask(a, now) && shortage != ShortageNone {
 		shortage = a.take(now)
 	}
 	if shortage != ShortageNone {
@@ -129,6 +129,15 @@
 	}
 }
 
+// forget drops the accounts of customers that have long made no calls.
+func (l *Limiter) forget(now time.Time) {
+	for customer, a := range l.accounts.Range {
+		if a.(*account).idle(now) {
+			l.accounts.Delete(customer)
+		}
+	}
+}
+
 func (l *Limiter) currentFleet() *Fleet {
 	if f := l.fleet.Load(); f != nil {
 		return f
--- a/pkg/ffclient/client.go
+++ b/pkg/ffclient/client.go
@@ -17,6 +17,9 @@
 // oncePause is the time between two attempts with one token.
 const oncePause = 100 * time.Millisecond
 
+// reasonToken is the reason of a gate that never runs the token any more.
+const reasonToken = "token"
+
 // Client calls the daemons at some addresses with the key of one customer.
 type Client struct {
 	// Addresses are those of daemons for callers (IP and port).
@@ -48,22 +51,27 @@
 
 // DoAt sends the request once, to the daemon at an address.
 func (c *Client) DoAt(ctx context.Context, address string, r Request) (*Answer, error) {
-	written := false
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { written = true }, GotConn: func(httptrace.GotConnInfo) { written = true }}
+	var sent atomic.Int64
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Add(1) }}
 	request, err := c.request(httptrace.WithClientTrace(ctx, trace), address, r)
 	if err != nil {
 		return nil, &Error{Op: "call", Kind: KindRequest, Outcome: OutcomeNotRun, Err: err}
 	}
 	answer, err := c.client().Do(request)
 	if err != nil {
-		return nil, &Error{Op: "call", Kind: KindTransport, Outcome: outcomeOf(written, r), Err: err}
+		return nil, &Error{Op: "call", Kind: KindTransport, Outcome: outcomeOf(sent.Load() > 0, r), Err: err}
 	}
 	defer func() { _ = answer.Body.Close() }()
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
 		return nil, &Error{Op: "read answer", Kind: KindTransport, Outcome: OutcomeUnknown, Err: err}
 	}
-	return answerOf(answer, body, time.Now()), nil
+	a := answerOf(answer, body, time.Now())
+	if a.Outcome == OutcomeNotRun && sent.Load() > 1 {
+		// The HTTP client sent the request again by itself; the first copy may have run.
+		a.Outcome = OutcomeUnknown
+	}
+	return a, nil
 }
 
 // outcomeOf tells what is known of a call without an answer: one that was never
@@ -77,7 +85,9 @@
 
 // DoOnce sends the request with a token, again and again through each address in
 // turn, until its outcome is known or ctx ends. It runs at most once. Without a
-// token in the request it mints one for the route first.
+// token in the request it mints one for the route first. After an attempt of
+// unknown outcome, which may still be on its way, a later one that did not run
+// tells nothing of the call, unless the token itself has ended.
 func (c *Client) DoOnce(ctx context.Context, route string, r Request) (*Answer, error) {
 	if r.Token == "" {
 		token, err := c.Mint(ctx, route)
@@ -86,11 +96,16 @@
 		}
 		r.Token = token
 	}
+	lost := false
 	for {
 		answer, err := c.Do(ctx, r)
+		if err == nil && lost && answer.Outcome == OutcomeNotRun && answer.Reason != reasonToken {
+			answer.Outcome = OutcomeUnknown
+		}
 		if err == nil && answer.Outcome != OutcomeUnknown {
 			return answer, nil
 		}
+		lost = true
 		if !pause(ctx, oncePause) {
 			return answer, err
 		}
