DoOnce: what the gate refused as not run is final; tests of the client's outcomes

The client held a gate's notRun for unknown after a lost request, because the gate freed refused tokens. The entry's own repeats go on after an attempt that never came.

--- a/pkg/ffclient/client.go
+++ b/pkg/ffclient/client.go
@@ -17,9 +17,6 @@
 // oncePause is the time between two attempts with one token.
 const oncePause = 100 * time.Millisecond
 
-// reasonToken is the reason of a gate that never runs the token any more.
-const reasonToken = "token"
-
 // Client calls the daemons at some addresses with the key of one customer.
 type Client struct {
 	// Addresses are those of daemons for callers (IP and port).
@@ -85,9 +82,9 @@
 
 // DoOnce sends the request with a token, again and again through each address in
 // turn, until its outcome is known or ctx ends. It runs at most once. Without a
-// token in the request it mints one for the route first. After an attempt of
-// unknown outcome, which may still be on its way, a later one that did not run
-// tells nothing of the call, unless the token itself has ended.
+// token in the request it mints one for the route first. That the call did not
+// run is final, since the gate that says so runs nothing with the token any more,
+// also when an earlier attempt is still on its way.
 func (c *Client) DoOnce(ctx context.Context, route string, r Request) (*Answer, error) {
 	if r.Token == "" {
 		token, err := c.Mint(ctx, route)
@@ -96,16 +93,11 @@
 		}
 		r.Token = token
 	}
-	lost := false
 	for {
 		answer, err := c.Do(ctx, r)
-		if err == nil && lost && answer.Outcome == OutcomeNotRun && answer.Reason != reasonToken {
-			answer.Outcome = OutcomeUnknown
-		}
 		if err == nil && answer.Outcome != OutcomeUnknown {
 			return answer, nil
 		}
-		lost = true
 		if !pause(ctx, oncePause) {
 			return answer, err
 		}
