--- a/internal/ffcaller/handler.go
+++ b/internal/ffcaller/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -40,6 +41,7 @@
 
 	memory      bodyMemory
 	connections connections
+	leaving     atomic.Bool
 }
 
 // NewHandler returns a handler over an entry.
@@ -47,9 +49,16 @@
 	return &Handler{Entry: entry, Metrics: metrics}
 }
 
+// Leave makes every answer from now on the last on its connection, so that no
+// caller keeps one on which it may send when the daemon stops.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
 // ServeHTTP takes one request to its answer.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	snapshot, contract, err := h.Entry.Authenticate(bearerKey(r))
 	if err != nil {
--- a/internal/ffdaemon/daemon.go
+++ b/internal/ffdaemon/daemon.go
@@ -168,7 +168,7 @@
 	defer cancel()
 	d.State.draining.Store(true)
 	d.Trail.Record(ffaudit.Event{Kind: ffaudit.KindDrainStarted, Subject: d.Settings.Name})
-	callers.SetKeepAlivesEnabled(false)
+	d.Callers.Leave()
 	d.Node.Leave(ctx)
 	drained := d.Gate.Drain(ctx)
 	wait(ctx, leaveGrace)
--- a/internal/ffproof/call_test.go
+++ b/internal/ffproof/call_test.go
@@ -27,6 +27,8 @@
 	timeout time.Duration
 	header  http.Header
 	gate    string
+	// kept tells that the caller keeps its connections for further calls.
+	kept bool
 
 	client *ffclient.Client
 	sent   time.Time
@@ -51,6 +53,9 @@
 		c.path = "/" + c.route + "/" + c.path
 	}
 	c.client = &ffclient.Client{Key: c.customer + "-key", HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	if c.kept {
+		c.client.HTTP = s.kept
+	}
 	for _, vm := range c.at {
 		n, err := s.node(vm)
 		if err != nil {
@@ -75,6 +80,8 @@
 		c.token = s.tokens[value]
 	case "gate":
 		c.gate = value
+	case "connections":
+		c.kept = value == "kept"
 	case "work":
 		c.header.Set("Stand-Work-Millis", value)
 	case "crash":
--- a/internal/ffproof/proof_test.go
+++ b/internal/ffproof/proof_test.go
@@ -28,7 +28,8 @@
 	// mint TOKEN at=VM customer=NAME route=NAME [gate=VM]
 	"mint": (*stage).mint,
 	// start CALL at=VM customer=NAME route=NAME [like=CALL] [token=TOKEN]
-	// [work=MILLIS] [timeout=MILLIS] [crash=KIND] [bytes=NUMBER]: sends without waiting.
+	// [work=MILLIS] [timeout=MILLIS] [crash=KIND] [bytes=NUMBER] [connections=kept]:
+	// sends without waiting.
 	"start": (*stage).start,
 	// running CALL: waits until a target runs the call.
 	"running": (*stage).running,
@@ -71,14 +72,21 @@
 }
 
 // TestProofs runs every script.
-func TestProofs(t *testing.T) {
+func TestProofs(t *testing.T) { runScripts(t, "testdata/script") }
+
+// TestPlannedStopOfEntry runs the script of a planned stop of the daemon that
+// callers use.
+func TestPlannedStopOfEntry(t *testing.T) { runScripts(t, "testdata/red") }
+
+func runScripts(t *testing.T, directory string) {
+	t.Helper()
 	binaries := &ffprocess.Binaries{Directory: t.TempDir()}
 	declarations, err := filepath.Abs("testdata")
 	if err != nil {
 		t.Fatal(err)
 	}
 	testscript.Run(t, testscript.Params{
-		Dir:  "testdata/script",
+		Dir:  directory,
 		Cmds: scriptCommands(),
 		Setup: func(e *testscript.Env) error {
 			s := newStage(e.WorkDir, declarations, binaries)
--- a/internal/ffproof/stage_test.go
+++ b/internal/ffproof/stage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -25,6 +26,8 @@
 	generous = 60 * time.Second
 	// reportTimeout bounds one look at a daemon after a failure.
 	reportTimeout = time.Second
+	// keptConnections bounds the idle connections of callers to one daemon.
+	keptConnections = 100
 	// pollInterval is the time between two looks.
 	pollInterval = 5 * time.Millisecond
 )
@@ -44,6 +47,8 @@
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 
+	// kept carries the calls of callers that keep their connections.
+	kept *http.Client
 	// carelessSent counts the calls of careless callers.
 	carelessSent atomic.Int64
 
@@ -56,6 +61,7 @@
 		directory: directory, declarations: declarations, binaries: binaries,
 		tokens: make(map[string]string), marks: make(map[string]time.Time),
 		loads: make(map[string]*load), calls: make(map[string]*call),
+		kept: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: keptConnections}},
 	}
 	s.end, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -67,6 +73,7 @@
 		s.deployment.Close()
 	}
 	s.loops.Wait()
+	s.kept.CloseIdleConnections()
 }
 
 // within returns a context that ends when a step has taken far too long.
