--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -59,9 +59,12 @@
 	d := &Deployment{
 		plan:           plan,
 		directory:      directory,
-		binaries:       &ffprocess.Binaries{Directory: filepath.Join(directory, "bin")},
+		binaries:       plan.Binaries,
 		platformRelays: make(map[string]*ffrelay.Relay),
 	}
+	if d.binaries == nil {
+		d.binaries = &ffprocess.Binaries{Directory: filepath.Join(directory, "bin")}
+	}
 	if err := d.startAll(ctx); err != nil {
 		d.Close()
 		return nil, err
@@ -179,7 +182,7 @@
 	for _, n := range nodes {
 		g.Go(func() error {
 			if !d.plan.WithoutTargets {
-				if err := n.startTarget(ctx); err != nil {
+				if err := n.StartTarget(ctx); err != nil {
 					return err
 				}
 			}
@@ -193,7 +196,12 @@
 	if !d.plan.Relays || d.platformRelays[dataCentre] != nil {
 		return nil
 	}
-	r, err := ffrelay.New(anyPort, d.platform)
+	// A cut closes the relay's port for a while, in which no outgoing connection may take it.
+	free, err := ffprocess.FreeAddresses(1)
+	if err != nil {
+		return &Error{Op: "prepare", Kind: KindAddress, Err: err}
+	}
+	r, err := ffrelay.New(free[0], d.platform)
 	if err != nil {
 		return err
 	}
@@ -301,7 +309,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return time.Time{}, &Error{Op: "await version", Kind: KindDeadline, Err: merry.Errorf("%s has %s, wanted is %s: %w", n.VM.Name, s.Version, v, ctx.Err())}
+			return time.Time{}, &Error{Op: "await version", Kind: KindDeadline, Err: merry.Errorf("%s has %s, wanted is %s: %w: last lines %q", n.VM.Name, s.Version, v, ctx.Err(), n.lastLines())}
 		case <-ticker.C:
 		}
 	}
--- a/internal/ffprocess/process.go
+++ b/internal/ffprocess/process.go
@@ -35,8 +35,23 @@
 // Exited returns a channel that is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
-// Freeze stops the process until Wake.
-func (p *Process) Freeze() error { return p.signal("freeze", syscall.SIGSTOP) }
+// Status returns nil when the process has ended with status 0, and how it ended
+// otherwise. It waits for the end.
+func (p *Process) Status() error {
+	<-p.exited
+	if p.err != nil {
+		return p.fail("end", KindExited, p.err)
+	}
+	return nil
+}
+
+// Freeze stops the process until Wake, and returns when it stands still.
+func (p *Process) Freeze() error {
+	if err := p.signal("freeze", syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return p.awaitStopped()
+}
 
 // Wake lets a frozen process go on.
 func (p *Process) Wake() error { return p.signal("wake", syscall.SIGCONT) }
