Soak: an unknown outcome from an unknown gate is no cut by a planned stop

The entry did answer, at 56.63 s: its gate was in the data centre killed at 56.58 s, and as the target had not run the call, no record named that gate. The check was wrong there; it still takes as cut a call whose connection to the stopped entry broke, or that got an unknown outcome with no other fault about (stop-transport, stop-answered).

--- a/internal/ffsoak/checkstop.go
+++ b/internal/ffsoak/checkstop.go
@@ -107,8 +107,23 @@
 			f.violated(append([]string{"a planned stop cut a call in flight", line("stop", fault), line("call", c)}, linesOf(x.byKey[c.Key])...)...)
 		}
 	}
+	if x.lostElsewhere(c, fault) {
+		return
+	}
 	if c.Entry == vm && c.Started.Before(fault.Began) && c.Outcome == ffclient.OutcomeUnknown && c.Ended.Before(inTime) {
 		f.cut++
 		f.violated(append([]string{"a planned stop cut a caller off", line("stop", fault), line("call", c)}, linesOf(x.byKey[c.Key])...)...)
 	}
 }
+
+// lostElsewhere reports whether the entry answered that the outcome is unknown
+// while some gate was down, cut off or without its target: no target ran the
+// call, so nothing tells which gate it waited at.
+func (x *index) lostElsewhere(c *Call, stop *Injected) bool {
+	if c.Status == 0 || len(x.byKey[c.Key]) > 0 {
+		return false
+	}
+	return slices.ContainsFunc(x.Faults, func(f Injected) bool {
+		return !f.is(*stop) && !f.Kind.ofPlatform() && f.overlaps(c.Started, c.Ended)
+	})
+}
