--- a/internal/ffproof/stage_test.go
+++ b/internal/ffproof/stage_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -22,6 +24,10 @@
 const (
 	// generous bounds what must come, and is not measured.
 	generous = 60 * time.Second
+	// reportTimeout bounds one look at a daemon after a failure.
+	reportTimeout = time.Second
+	// keptConnections bounds the idle connections of callers to one daemon.
+	keptConnections = 100
 	// pollInterval is the time between two looks.
 	pollInterval = 5 * time.Millisecond
 )
@@ -41,6 +47,8 @@
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 
+	// kept carries the calls of callers that keep their connections.
+	kept *http.Client
 	// carelessSent counts the calls of careless callers.
 	carelessSent atomic.Int64
 
@@ -53,6 +61,7 @@
 		directory: directory, declarations: declarations, binaries: binaries,
 		tokens: make(map[string]string), marks: make(map[string]time.Time),
 		loads: make(map[string]*load), calls: make(map[string]*call),
+		kept: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: keptConnections}},
 	}
 	s.end, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -64,6 +73,7 @@
 		s.deployment.Close()
 	}
 	s.loops.Wait()
+	s.kept.CloseIdleConnections()
 }
 
 // within returns a context that ends when a step has taken far too long.
@@ -145,11 +155,23 @@
 	ctx, cancel := s.within()
 	defer cancel()
 	if _, err := s.deployment.AwaitVersion(ctx, nodes, s.version); err != nil {
-		return err
+		return errors.Join(err, s.report(nodes))
 	}
 	return s.awaitFleet(nodes)
 }
 
+// report returns what the daemons say of themselves.
+func (s *stage) report(nodes []*ffdeployment.Node) error {
+	var all []error
+	for _, n := range nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		v, err := n.Status(ctx)
+		cancel()
+		all = append(all, merry.Errorf("%s: %+v, %w, %q", n.VM.Name, v, err, n.Daemon.Lines()))
+	}
+	return errors.Join(all...)
+}
+
 // awaitFleet waits until the daemons know every VM.
 func (s *stage) awaitFleet(nodes []*ffdeployment.Node) error {
 	return s.awaitStatus(nodes, "a whole view", func(v ffoperator.Status) bool {
@@ -169,7 +191,7 @@
 	})
 }
 
-// node returns a VM by its name, or by @ and the name of a call that ran there.
+// node returns a VM by its name, or by @ and the name of a call that ran there first.
 func (s *stage) node(name string) (*ffdeployment.Node, error) {
 	if call, ok := strings.CutPrefix(name, "@"); ok {
 		return s.ranAt(call)
