Favour the own target; wait a moment for room in a contract; measure contracts

A call whose entry stands beside a target of its service goes there unless another costs less by more than the way to it, and so saves a hop. The experiment contracts measures both customers.

--- a/internal/ffbalance/chooser.go
+++ b/internal/ffbalance/chooser.go
@@ -24,6 +24,8 @@
 	NoLoad bool
 	// NoShunning keeps outliers among the choices.
 	NoShunning bool
+	// NoOwn does not favour the target beside the daemon.
+	NoOwn bool
 	// NoSpill never leaves the own data centre while it has a target.
 	NoSpill bool
 }
--- a/internal/ffbalance/group.go
+++ b/internal/ffbalance/group.go
@@ -33,6 +33,8 @@
 	view    []ffmember.VM
 	size    int
 	members []member
+	// own tells that the first member is the target beside this daemon.
+	own bool
 	// local and remote are the sets of members by data centre.
 	local, remote set
 
@@ -59,7 +61,7 @@
 }
 
 // candidates returns the live targets of a service in this daemon's order, by
-// rendezvous hash, those of its own data centre first.
+// rendezvous hash, those of its own data centre first and its own target before all.
 func candidates(entry, dataCentre, service string, view []ffmember.VM) (local, remote []ffmember.VM) {
 	for _, vm := range view {
 		switch {
@@ -71,13 +73,25 @@
 		}
 	}
 	byRank := func(a, b ffmember.VM) int {
-		return cmp.Or(cmp.Compare(rank(entry, a.Name), rank(entry, b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(
+			cmp.Compare(other(entry, a), other(entry, b)),
+			cmp.Compare(rank(entry, a.Name), rank(entry, b.Name)),
+			cmp.Compare(a.Name, b.Name),
+		)
 	}
 	slices.SortFunc(local, byRank)
 	slices.SortFunc(remote, byRank)
 	return local, remote
 }
 
+// other returns 0 for the VM of the daemon itself and 1 for every other.
+func other(entry string, vm ffmember.VM) int {
+	if vm.Name == entry {
+		return 0
+	}
+	return 1
+}
+
 func rank(entry, vm string) uint64 { return xxhash.Sum64String(entry + "\x00" + vm) }
 
 // newGroup makes the subset of a service from a view.
@@ -92,6 +106,7 @@
 	for _, vm := range slices.Concat(local[:nearby], remote[:far]) {
 		g.members = append(g.members, member{vm: vm, facts: c.factsOf(vm.Name)})
 	}
+	g.own = nearby > 0 && g.members[ownMember].vm.Name == c.Entry
 	g.local = firstBits(nearby)
 	g.remote = firstBits(nearby+far) &^ g.local
 	g.eligible.Store(uint64(g.local | g.remote))
--- a/internal/ffbalance/pick.go
+++ b/internal/ffbalance/pick.go
@@ -10,6 +10,12 @@
 // remotePenalty is the time that a call to another data centre takes longer, in nanoseconds.
 const remotePenalty = float64(3 * time.Millisecond)
 
+// hopPenalty is the time that a call to the daemon of another VM takes longer, in nanoseconds.
+const hopPenalty = float64(150 * time.Microsecond)
+
+// ownMember is the place of the target beside this daemon in a group that has it.
+const ownMember = 0
+
 // without returns the members that are not excluded.
 func (g *group) without(exclude []string) set {
 	s := g.local | g.remote
@@ -74,7 +80,7 @@
 // spill returns the better of two members of the own data centre, or one of
 // another where the call is expected to end sooner, the way there included.
 func (c *Chooser) spill(g *group, class ffconfig.Class, near, far set, now time.Time) int {
-	local, cost := c.better(g, class, near, now)
+	local, cost := c.nearest(g, class, near, now)
 	if c.Off.NoSpill || far.empty() || cost < minLatency+remotePenalty {
 		return local
 	}
@@ -85,6 +91,19 @@
 	return local
 }
 
+// nearest returns the better of two members of the own data centre, or the
+// target beside this daemon where it costs no more than the way to another.
+func (c *Chooser) nearest(g *group, class ffconfig.Class, near set, now time.Time) (int, float64) {
+	i, cost := c.better(g, class, near, now)
+	if c.Off.NoOwn || !near.has(ownMember) || !g.own || i == ownMember {
+		return i, cost
+	}
+	if own := c.cost(g, ownMember, class, now); own <= cost+hopPenalty {
+		return ownMember, own
+	}
+	return i, cost
+}
+
 // better returns the cheaper of two members drawn from a set, with its cost in nanoseconds.
 func (c *Chooser) better(g *group, class ffconfig.Class, s set, now time.Time) (int, float64) {
 	bits := c.draw()
--- a/internal/ffdaemon/daemon.go
+++ b/internal/ffdaemon/daemon.go
@@ -41,6 +41,7 @@
 // Daemon is the one process beside a target.
 type Daemon struct {
 	Settings Settings
+	Off      switches
 	Log      zerolog.Logger
 	Trail    *ffaudit.Trail
 	State    *state
@@ -143,6 +144,9 @@
 
 // runFleet tells the limits of each change of the fleet.
 func (d *Daemon) runFleet(ctx context.Context) error {
+	if d.Off.aloneLimits {
+		return nil
+	}
 	ticker := time.NewTicker(fleetInterval)
 	defer ticker.Stop()
 	var known *ffmember.View
--- a/internal/ffdaemon/settings.go
+++ b/internal/ffdaemon/settings.go
@@ -29,7 +29,7 @@
 	PlatformRate    float64       `arg:"--platform-rate,env:FIREFLYFALL_PLATFORM_RATE" default:"2000" placeholder:"N" help:"calls a second that the platform allows over all readers"`
 	MaxFleet        int           `arg:"--max-fleet,env:FIREFLYFALL_MAX_FLEET" default:"5200" placeholder:"N" help:"greatest number of daemons, assumed while the fleet is unknown"`
 	DrainTimeout    time.Duration `arg:"--drain-timeout,env:FIREFLYFALL_DRAIN_TIMEOUT" default:"10m" placeholder:"DURATION" help:"greatest time that a planned stop waits for calls in flight"`
-	Off             []string      `arg:"--off,env:FIREFLYFALL_OFF" placeholder:"POLICY" help:"policies to turn off, to compare with and without: roundRobin, noLoad, noShunning, noSpill, oneQueue, noReserve, noRefusal, noHedge"`
+	Off             []string      `arg:"--off,env:FIREFLYFALL_OFF" placeholder:"POLICY" help:"policies to turn off, to compare with and without: roundRobin, noLoad, noShunning, noOwn, noSpill, oneQueue, noReserve, noRefusal, noHedge, sharedLimits"`
 	LogLevel        string        `arg:"--log-level,env:FIREFLYFALL_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 }
 
--- a/internal/ffdaemon/wire_gen.go
+++ b/internal/ffdaemon/wire_gen.go
@@ -15,6 +15,7 @@
 // Injectors from wire.go:
 
 func assemble(s Settings, log zerolog.Logger) (*Daemon, error) {
+	ffdaemonSwitches := provideSwitches(s)
 	trail := provideTrail(s, log)
 	vm := provideSelf(s)
 	incarnation := provideIncarnation()
@@ -36,7 +37,6 @@
 	node := provideNode(s, log, vm, incarnation, trail, store, members, budget, client, ffplatformClient, limiter, registry)
 	ffdaemonState := provideState(vm, incarnation, node, store, members)
 	exchange := provideExchange(limiter, pool)
-	ffdaemonSwitches := provideSwitches(s)
 	fftargetClient := provideTarget(s)
 	gate, err := provideGate(s, ffdaemonSwitches, incarnation, fftargetClient, store, registry)
 	if err != nil {
@@ -61,6 +61,7 @@
 	}
 	daemon := &Daemon{
 		Settings: s,
+		Off:      ffdaemonSwitches,
 		Log:      log,
 		Trail:    trail,
 		State:    ffdaemonState,
--- a/internal/ffentry/admission.go
+++ b/internal/ffentry/admission.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -49,7 +48,7 @@
 	if !contract.Allows(route.Name) {
 		return nil, ffcall.Refuse("admit", ffcall.KindForbidden, merry.Errorf("the contract of %s does not name route %s", contract.Customer, route.Name))
 	}
-	permit, refusal := e.Limiter.Acquire(ctx, contract, time.Now)
+	permit, refusal := e.acquire(ctx, contract)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/ffentry/bound.go
+++ b/internal/ffentry/bound.go
@@ -73,7 +73,7 @@
 	if route.Idempotent {
 		return "", ffcall.Refuse("mint", ffcall.KindMalformed, merry.Errorf("route %s is idempotent and takes no token", name))
 	}
-	permit, refusal := e.Limiter.Acquire(ctx, c, time.Now)
+	permit, refusal := e.acquire(ctx, c)
 	if refusal != nil {
 		return "", refusal
 	}
--- a/internal/ffentry/entry.go
+++ b/internal/ffentry/entry.go
@@ -67,6 +67,8 @@
 	Remote    Remote
 	// NoHedge turns hedged attempts off, to compare with and without them.
 	NoHedge bool
+
+	patient patient
 }
 
 // Serve takes an admitted call to its answer. Its error is an *ffcall.Error.
--- a/internal/ffexperiment/experiment.go
+++ b/internal/ffexperiment/experiment.go
@@ -51,6 +51,7 @@
 	"headOfLine":     headOfLine{},
 	"slowedTargets":  slowedTargets{},
 	"addedLatency":   addedLatency{},
+	"contracts":      contracts{},
 	"convergence":    convergence{},
 	"reconnectStorm": reconnectStorm{},
 	"controlCost":    controlCost{},
@@ -97,4 +98,4 @@
 
 // baselineOff are the policies that a plain proxy lacks: it takes targets in
 // turn, and first come is first served.
-var baselineOff = []string{"roundRobin", "noLoad", "noShunning", "oneQueue", "noReserve", "noRefusal", "noHedge"}
+var baselineOff = []string{"roundRobin", "noLoad", "noShunning", "noOwn", "oneQueue", "noReserve", "noRefusal", "noHedge"}
