--- a/internal/ffload/main.go
+++ b/internal/ffload/main.go
@@ -20,6 +20,7 @@
 type arguments struct {
 	Demo       *Demo       `arg:"subcommand:demo" help:"run a deployment on loopback and show the whole path"`
 	Experiment *Experiment `arg:"subcommand:experiment" help:"measure the product against a baseline and print one JSON line"`
+	Report     *Report     `arg:"subcommand:report" help:"draw one page with plots from the JSON lines of experiments"`
 	Soak       *Soak       `arg:"subcommand:soak" help:"run a deployment under load and faults, and judge every promise"`
 }
 
--- /dev/null
+++ b/internal/ffload/report.go
@@ -0,0 +1,24 @@
+package ffload
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"fireflyfall.dev/fireflyfall/internal/ffreport"
+)
+
+// Report draws one page from the JSON lines of experiments.
+type Report struct {
+	Directory string `arg:"positional,required" placeholder:"DIR" help:"directory with .json files of experiments; takes the page report.html"`
+}
+
+// Run draws the page and prints its path.
+func (r *Report) Run(_ context.Context, out io.Writer) error {
+	path, err := ffreport.Write(r.Directory)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(out, path)
+	return err
+}
--- /dev/null
+++ b/internal/ffreport/error.go
@@ -0,0 +1,29 @@
+package ffreport
+
+import "fmt"
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind tells what sort of failure an Error reports.
+type Kind int
+
+// Kinds of failure.
+const (
+	KindUnknown   Kind = iota // unknown
+	KindFile                  // file
+	KindMalformed             // malformed
+	KindPlot                  // plot
+)
+
+// Error is a failure to read reports or to draw the page.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("ffreport: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/ffreport/read.go
@@ -0,0 +1,79 @@
+package ffreport
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Line is the JSON line of one experiment.
+type Line struct {
+	Name     string          `json:"name"`
+	Seed     uint64          `json:"seed"`
+	Baseline json.RawMessage `json:"baseline"`
+	Product  json.RawMessage `json:"product"`
+	Target   string          `json:"target"`
+	Met      bool            `json:"met"`
+}
+
+// Read returns the lines of every .json file of a directory, in the order of the
+// files. Of several lines of one experiment the last counts.
+func Read(directory string) ([]Line, error) {
+	paths, err := filepath.Glob(filepath.Join(directory, "*.json"))
+	if err != nil {
+		return nil, &Error{Op: "read", Kind: KindFile, Err: err}
+	}
+	var lines []Line
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return nil, &Error{Op: "read", Kind: KindFile, Err: err}
+		}
+		if lines, err = decode(lines, path, content); err != nil {
+			return nil, err
+		}
+	}
+	if len(lines) == 0 {
+		return nil, &Error{Op: "read", Kind: KindFile, Err: merry.Errorf("%s holds no JSON line of an experiment", directory)}
+	}
+	return lines, nil
+}
+
+func decode(lines []Line, path string, content []byte) ([]Line, error) {
+	for text := range bytes.Lines(content) {
+		if len(bytes.TrimSpace(text)) == 0 {
+			continue
+		}
+		var l Line
+		if err := json.Unmarshal(text, &l); err != nil || l.Name == "" {
+			return nil, &Error{Op: "read", Kind: KindMalformed, Err: merry.Errorf("%s: not a line of an experiment: %v", path, err)}
+		}
+		lines = put(lines, l)
+	}
+	return lines, nil
+}
+
+// put replaces the line of the same experiment, or adds it.
+func put(lines []Line, l Line) []Line {
+	for i := range lines {
+		if lines[i].Name == l.Name {
+			lines[i] = l
+			return lines
+		}
+	}
+	return append(lines, l)
+}
+
+// figures decodes the baseline and the product of a line.
+func figures[T any](l Line) (baseline, product T, err error) {
+	if err = json.Unmarshal(l.Baseline, &baseline); err == nil {
+		err = json.Unmarshal(l.Product, &product)
+	}
+	if err != nil {
+		err = &Error{Op: "read " + l.Name, Kind: KindMalformed, Err: err}
+	}
+	return baseline, product, err
+}
