Give out each address once, not each port

Cause: controlCost ended with 'no free port' in its fifth deployment. Each deployment took ports for the whole fleet at every data centre's address, and a port once given was never given again, at any address. Ports are now counted for each address, and as many as the data centre needs.

--- a/internal/ffdeployment/deployment.go
+++ b/internal/ffdeployment/deployment.go
@@ -116,7 +116,7 @@
 	for _, vm := range d.plan.Fleet {
 		source := sourceOf(subnet, slices.Index(dataCentres, vm.DataCentre))
 		if len(free[source]) == 0 {
-			addresses, err := ffprocess.FreeAddressesAt(source, portsPerNode*len(d.plan.Fleet))
+			addresses, err := ffprocess.FreeAddressesAt(source, portsPerNode*d.plan.count(vm.DataCentre))
 			if err != nil {
 				return &Error{Op: "prepare", Kind: KindAddress, Err: err}
 			}
--- a/internal/ffdeployment/plan.go
+++ b/internal/ffdeployment/plan.go
@@ -35,6 +35,17 @@
 	WithoutTargets bool
 }
 
+// count returns the number of VMs in a data centre.
+func (p *Plan) count(dataCentre string) int {
+	n := 0
+	for _, vm := range p.Fleet {
+		if vm.DataCentre == dataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 // TargetArgs returns the arguments of the target on a VM; none when nil.
 type TargetArgs func(vm ffmember.VM) []string
 
--- a/internal/ffprocess/address.go
+++ b/internal/ffprocess/address.go
@@ -18,25 +18,25 @@
 	maxPortTries = 1000
 )
 
-// portSet holds the ports that this program has given out, each only once.
-type portSet struct {
-	mu    sync.Mutex
-	ports map[uint16]bool
+// addressSet holds the addresses that this program has given out, each only once.
+type addressSet struct {
+	mu        sync.Mutex
+	addresses map[netip.AddrPort]bool
 }
 
-var given portSet
+var given addressSet
 
-// take reports whether the port was not given out before.
-func (s *portSet) take(port uint16) bool {
+// take reports whether the address was not given out before.
+func (s *addressSet) take(address netip.AddrPort) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ports[port] {
+	if s.addresses[address] {
 		return false
 	}
-	if s.ports == nil {
-		s.ports = make(map[uint16]bool)
+	if s.addresses == nil {
+		s.addresses = make(map[netip.AddrPort]bool)
 	}
-	s.ports[port] = true
+	s.addresses[address] = true
 	return true
 }
 
@@ -64,7 +64,7 @@
 func listenAnywhere(host netip.Addr) (net.Listener, error) {
 	for range maxPortTries {
 		address := netip.AddrPortFrom(host, uint16(firstPort+rand.IntN(lastPort-firstPort)))
-		if !given.take(address.Port()) {
+		if !given.take(address) {
 			continue
 		}
 		listener, err := net.Listen("tcp", address.String())
