--- a/internal/ffcommand/audit.go
+++ b/internal/ffcommand/audit.go
@@ -7,24 +7,19 @@
 	"io"
 	"slices"
 
-	"github.com/ansel1/merry/v2"
-
 	"fireflyfall.dev/fireflyfall/internal/ffaudit"
-	"fireflyfall.dev/fireflyfall/internal/ffoperator"
 )
 
 // Audit shows the audit trails of all daemons in order of time.
 type Audit struct {
-	Address string `arg:"positional,required" placeholder:"ADDRESS" help:"operators' address of any daemon, as IP:PORT"`
-	Key     string `arg:"--operator-key,env:FIREFLYFALL_OPERATOR_KEY" placeholder:"KEY" help:"the operator key, if the daemons ask for one"`
+	fleet
 }
 
 // Run merges the trails of every daemon that the one at the address knows.
 func (a *Audit) Run(ctx context.Context, stdout, stderr io.Writer) error {
-	c := &ffoperator.Client{Key: a.Key}
-	vms, err := c.Members(ctx, a.Address)
+	c, vms, err := a.members(ctx, "audit")
 	if err != nil {
-		return &Error{Op: "audit", Kind: KindFailed, Err: merry.Prepend(err, "members")}
+		return err
 	}
 	var events []ffaudit.Event
 	for _, answer := range c.Audits(ctx, vms) {
--- /dev/null
+++ b/internal/ffcommand/fleet.go
@@ -0,0 +1,26 @@
+package ffcommand
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmember"
+	"fireflyfall.dev/fireflyfall/internal/ffoperator"
+)
+
+// fleet are the daemons that the one at an address knows.
+type fleet struct {
+	Address string `arg:"positional,required" placeholder:"ADDRESS" help:"operators' address of any daemon, as IP:PORT"`
+	Key     string `arg:"--operator-key,env:FIREFLYFALL_OPERATOR_KEY" placeholder:"KEY" help:"the operator key, if the daemons ask for one"`
+}
+
+// members returns the VMs of the daemons, and a client to ask them.
+func (f *fleet) members(ctx context.Context, op string) (*ffoperator.Client, []ffmember.VM, error) {
+	c := &ffoperator.Client{Key: f.Key}
+	vms, err := c.Members(ctx, f.Address)
+	if err != nil {
+		return nil, nil, &Error{Op: op, Kind: KindFailed, Err: merry.Prepend(err, "members")}
+	}
+	return c, vms, nil
+}
--- a/internal/ffcommand/status.go
+++ b/internal/ffcommand/status.go
@@ -7,24 +7,20 @@
 	"io"
 	"slices"
 
-	"github.com/ansel1/merry/v2"
-
 	"fireflyfall.dev/fireflyfall/internal/ffoperator"
 	"fireflyfall.dev/fireflyfall/pkg/ffconfig"
 )
 
 // Status shows what the daemons have in force.
 type Status struct {
-	Address string `arg:"positional,required" placeholder:"ADDRESS" help:"operators' address of any daemon, as IP:PORT"`
-	Key     string `arg:"--operator-key,env:FIREFLYFALL_OPERATOR_KEY" placeholder:"KEY" help:"the operator key, if the daemons ask for one"`
+	fleet
 }
 
 // Run asks every daemon that the one at the address knows.
 func (s *Status) Run(ctx context.Context, stdout, _ io.Writer) error {
-	c := &ffoperator.Client{Key: s.Key}
-	vms, err := c.Members(ctx, s.Address)
+	c, vms, err := s.members(ctx, "status")
 	if err != nil {
-		return &Error{Op: "status", Kind: KindFailed, Err: merry.Prepend(err, "members")}
+		return err
 	}
 	r := report{answers: c.Statuses(ctx, vms)}
 	return r.write(stdout)
