DoOnce ends when the request itself is rejected

With a token every refusal before the gate leaves the outcome unknown, so that a wrong key or a body too long was sent again until the context ended. The two new rows of TestNotRunIsFinal failed before (asked until an answer ran).

--- a/pkg/ffclient/client.go
+++ b/pkg/ffclient/client.go
@@ -80,8 +80,17 @@
 	return OutcomeNotRun
 }
 
+// rejected are the reasons for which every daemon refuses the request as it is.
+var rejected = map[string]bool{
+	"unauthenticated": true,
+	"forbidden":       true,
+	"noRoute":         true,
+	"tooLarge":        true,
+	"malformed":       true,
+}
+
 // DoOnce sends the request with a token, again and again through each address in
-// turn, until its outcome is known or ctx ends. It runs at most once. Without a
+// turn, until its outcome is known, the request itself is rejected, or ctx ends. It runs at most once. Without a
 // token in the request it mints one for the route first. That the call did not
 // run is final, since the gate that says so runs nothing with the token any more,
 // also when an earlier attempt is still on its way.
@@ -95,7 +104,7 @@
 	}
 	for {
 		answer, err := c.Do(ctx, r)
-		if err == nil && answer.Outcome != OutcomeUnknown {
+		if err == nil && (answer.Outcome != OutcomeUnknown || rejected[answer.Reason]) {
 			return answer, nil
 		}
 		if !pause(ctx, oncePause) {
--- a/pkg/ffclient/once_test.go
+++ b/pkg/ffclient/once_test.go
@@ -53,6 +53,8 @@
 		{"ran", ffclient.OutcomeRan, 1},
 		{"unknown notRun ran", ffclient.OutcomeNotRun, 2},
 		{"unknown cut ran notRun", ffclient.OutcomeRan, 3},
+		{"unknown:unauthenticated ran", ffclient.OutcomeUnknown, 1},
+		{"cut unknown:tooLarge ran", ffclient.OutcomeUnknown, 2},
 		{"cut notRun:token ran", ffclient.OutcomeNotRun, 2},
 		{"cut unknown notRun ran", ffclient.OutcomeNotRun, 3},
 	} {
