Name policies for what they do, not for their absence

'--off noHedge' said no twice; it is '--off hedging' now, and reports of experiments name the policy that is left out. ForwardAdvertised is named as its flag.

--- a/internal/ffdaemon/policy.go
+++ b/internal/ffdaemon/policy.go
@@ -20,16 +20,16 @@
 
 // policies turn single policies off, by name.
 var policies = map[string]func(*switches){
-	"roundRobin":   func(s *switches) { s.balance.RoundRobin = true },
-	"noLoad":       func(s *switches) { s.balance.NoLoad = true },
-	"noShunning":   func(s *switches) { s.balance.NoShunning = true },
-	"noOwn":        func(s *switches) { s.balance.NoOwn = true },
-	"noSpill":      func(s *switches) { s.balance.NoSpill = true },
-	"oneQueue":     func(s *switches) { s.gate.OneQueue = true },
-	"noReserve":    func(s *switches) { s.gate.NoReserve = true },
-	"noRefusal":    func(s *switches) { s.gate.NoRefusal = true },
-	"noHedge":      func(s *switches) { s.noHedge = true },
-	"sharedLimits": func(s *switches) { s.aloneLimits = true },
+	"twoChoices":      func(s *switches) { s.balance.RoundRobin = true },
+	"loadReports":     func(s *switches) { s.balance.NoLoad = true },
+	"shunning":        func(s *switches) { s.balance.NoShunning = true },
+	"ownTarget":       func(s *switches) { s.balance.NoOwn = true },
+	"spill":           func(s *switches) { s.balance.NoSpill = true },
+	"fairQueue":       func(s *switches) { s.gate.OneQueue = true },
+	"reservedSlots":   func(s *switches) { s.gate.NoReserve = true },
+	"deadlineRefusal": func(s *switches) { s.gate.NoRefusal = true },
+	"hedging":         func(s *switches) { s.noHedge = true },
+	"sharedLimits":    func(s *switches) { s.aloneLimits = true },
 }
 
 func policyNames() string { return strings.Join(slices.Sorted(maps.Keys(policies)), ", ") }
--- a/internal/ffdaemon/provide.go
+++ b/internal/ffdaemon/provide.go
@@ -87,7 +87,7 @@
 		DataCentre:      s.DataCentre,
 		Service:         s.Service,
 		PeerAddress:     cmp.Or(s.PeerAdvertised, s.PeerAddress),
-		ForwardAddress:  cmp.Or(s.CallAdvertised, s.ForwardAddress),
+		ForwardAddress:  cmp.Or(s.ForwardAdvertised, s.ForwardAddress),
 		OperatorAddress: s.OperatorAddress,
 	}
 }
--- a/internal/ffdaemon/settings.go
+++ b/internal/ffdaemon/settings.go
@@ -13,24 +13,24 @@
 
 // Settings are the flags and environment variables of a daemon.
 type Settings struct {
-	Name            string        `arg:"--name,env:FIREFLYFALL_NAME,required" placeholder:"NAME" help:"name of this VM, as the platform lists it"`
-	DataCentre      string        `arg:"--data-centre,env:FIREFLYFALL_DATA_CENTRE,required" placeholder:"NAME" help:"data centre of this VM"`
-	Service         string        `arg:"--service,env:FIREFLYFALL_SERVICE,required" placeholder:"NAME" help:"service of the target on this VM"`
-	Target          string        `arg:"--target,env:FIREFLYFALL_TARGET,required" placeholder:"IP:PORT" help:"address of the target on this VM"`
-	CallerAddress   string        `arg:"--caller-address,env:FIREFLYFALL_CALLER_ADDRESS,required" placeholder:"IP:PORT" help:"address for callers"`
-	PeerAddress     string        `arg:"--peer-address,env:FIREFLYFALL_PEER_ADDRESS,required" placeholder:"IP:PORT" help:"address for the control messages of other daemons"`
-	ForwardAddress  string        `arg:"--forward-address,env:FIREFLYFALL_FORWARD_ADDRESS,required" placeholder:"IP:PORT" help:"address for calls from other daemons"`
-	PeerAdvertised  string        `arg:"--peer-advertised,env:FIREFLYFALL_PEER_ADVERTISED" placeholder:"IP:PORT" help:"address for control messages as other daemons reach it, when it differs"`
-	CallAdvertised  string        `arg:"--forward-advertised,env:FIREFLYFALL_FORWARD_ADVERTISED" placeholder:"IP:PORT" help:"address for calls as other daemons reach it, when it differs"`
-	OperatorAddress string        `arg:"--operator-address,env:FIREFLYFALL_OPERATOR_ADDRESS,required" placeholder:"IP:PORT" help:"address for operators; keep it closed to callers"`
-	OperatorKey     string        `arg:"--operator-key,env:FIREFLYFALL_OPERATOR_KEY" placeholder:"KEY" help:"key that operators must send; none is asked when empty"`
-	Platform        []string      `arg:"--platform,env:FIREFLYFALL_PLATFORM,required" placeholder:"IP:PORT" help:"addresses of the platform, tried in turn"`
-	Peers           []string      `arg:"--peers,env:FIREFLYFALL_PEERS" placeholder:"IP:PORT" help:"peer addresses of daemons to ask when the platform does not answer"`
-	PlatformRate    float64       `arg:"--platform-rate,env:FIREFLYFALL_PLATFORM_RATE" default:"2000" placeholder:"N" help:"calls a second that the platform allows over all readers"`
-	MaxFleet        int           `arg:"--max-fleet,env:FIREFLYFALL_MAX_FLEET" default:"5200" placeholder:"N" help:"greatest number of daemons, assumed while the fleet is unknown"`
-	DrainTimeout    time.Duration `arg:"--drain-timeout,env:FIREFLYFALL_DRAIN_TIMEOUT" default:"10m" placeholder:"DURATION" help:"greatest time that a planned stop waits for calls in flight"`
-	Off             []string      `arg:"--off,env:FIREFLYFALL_OFF" placeholder:"POLICY" help:"policies to turn off, to compare with and without: roundRobin, noLoad, noShunning, noOwn, noSpill, oneQueue, noReserve, noRefusal, noHedge, sharedLimits"`
-	LogLevel        string        `arg:"--log-level,env:FIREFLYFALL_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
+	Name              string        `arg:"--name,env:FIREFLYFALL_NAME,required" placeholder:"NAME" help:"name of this VM, as the platform lists it"`
+	DataCentre        string        `arg:"--data-centre,env:FIREFLYFALL_DATA_CENTRE,required" placeholder:"NAME" help:"data centre of this VM"`
+	Service           string        `arg:"--service,env:FIREFLYFALL_SERVICE,required" placeholder:"NAME" help:"service of the target on this VM"`
+	Target            string        `arg:"--target,env:FIREFLYFALL_TARGET,required" placeholder:"IP:PORT" help:"address of the target on this VM"`
+	CallerAddress     string        `arg:"--caller-address,env:FIREFLYFALL_CALLER_ADDRESS,required" placeholder:"IP:PORT" help:"address for callers"`
+	PeerAddress       string        `arg:"--peer-address,env:FIREFLYFALL_PEER_ADDRESS,required" placeholder:"IP:PORT" help:"address for the control messages of other daemons"`
+	ForwardAddress    string        `arg:"--forward-address,env:FIREFLYFALL_FORWARD_ADDRESS,required" placeholder:"IP:PORT" help:"address for calls from other daemons"`
+	PeerAdvertised    string        `arg:"--peer-advertised,env:FIREFLYFALL_PEER_ADVERTISED" placeholder:"IP:PORT" help:"address for control messages as other daemons reach it, when it differs"`
+	ForwardAdvertised string        `arg:"--forward-advertised,env:FIREFLYFALL_FORWARD_ADVERTISED" placeholder:"IP:PORT" help:"address for calls as other daemons reach it, when it differs"`
+	OperatorAddress   string        `arg:"--operator-address,env:FIREFLYFALL_OPERATOR_ADDRESS,required" placeholder:"IP:PORT" help:"address for operators; keep it closed to callers"`
+	OperatorKey       string        `arg:"--operator-key,env:FIREFLYFALL_OPERATOR_KEY" placeholder:"KEY" help:"key that operators must send; none is asked when empty"`
+	Platform          []string      `arg:"--platform,env:FIREFLYFALL_PLATFORM,required" placeholder:"IP:PORT" help:"addresses of the platform, tried in turn"`
+	Peers             []string      `arg:"--peers,env:FIREFLYFALL_PEERS" placeholder:"IP:PORT" help:"peer addresses of daemons to ask when the platform does not answer"`
+	PlatformRate      float64       `arg:"--platform-rate,env:FIREFLYFALL_PLATFORM_RATE" default:"2000" placeholder:"N" help:"calls a second that the platform allows over all readers"`
+	MaxFleet          int           `arg:"--max-fleet,env:FIREFLYFALL_MAX_FLEET" default:"5200" placeholder:"N" help:"greatest number of daemons, assumed while the fleet is unknown"`
+	DrainTimeout      time.Duration `arg:"--drain-timeout,env:FIREFLYFALL_DRAIN_TIMEOUT" default:"10m" placeholder:"DURATION" help:"greatest time that a planned stop waits for calls in flight"`
+	Off               []string      `arg:"--off,env:FIREFLYFALL_OFF" placeholder:"POLICY" help:"policies to turn off, to compare with and without: twoChoices, loadReports, shunning, ownTarget, spill, fairQueue, reservedSlots, deadlineRefusal, hedging, sharedLimits"`
+	LogLevel          string        `arg:"--log-level,env:FIREFLYFALL_LOG_LEVEL" default:"info" placeholder:"LEVEL" help:"debug, info, warn or error"`
 }
 
 const (
@@ -52,7 +52,7 @@
 	f.address("forward-address", s.ForwardAddress)
 	f.address("operator-address", s.OperatorAddress)
 	f.optionalAddress("peer-advertised", s.PeerAdvertised)
-	f.optionalAddress("forward-advertised", s.CallAdvertised)
+	f.optionalAddress("forward-advertised", s.ForwardAdvertised)
 	f.addresses("platform", s.Platform)
 	f.addresses("peers", s.Peers)
 	f.require(s.PlatformRate > 0 && s.PlatformRate <= maxPlatformRate, "platform-rate", s.PlatformRate, "above 0 and at most 1000000")
--- a/internal/ffexperiment/experiment.go
+++ b/internal/ffexperiment/experiment.go
@@ -98,4 +98,4 @@
 
 // baselineOff are the policies that a plain proxy lacks: it takes targets in
 // turn, and first come is first served.
-var baselineOff = []string{"roundRobin", "noLoad", "noShunning", "noOwn", "oneQueue", "noReserve", "noRefusal", "noHedge"}
+var baselineOff = []string{"twoChoices", "loadReports", "shunning", "ownTarget", "fairQueue", "reservedSlots", "deadlineRefusal", "hedging"}
