--- a/internal/ffreport/page.go
+++ b/internal/ffreport/page.go
@@ -22,6 +22,7 @@
 	width    = 18 * vg.Centimeter
 	height   = 9 * vg.Centimeter
 	barWidth = vg.Length(24)
+	headroom = 1.25
 	fileMode = 0o644
 )
 
@@ -94,6 +95,10 @@
 		p.Legend.Add(s.name, bars)
 	}
 	p.NominalX(c.labels...)
+	// Room for the legend above the bars, and for whole bars at both sides.
+	p.Y.Max *= headroom
+	p.X.Min = -0.5
+	p.X.Max = float64(len(c.labels)) - 0.5
 	drawn, err := p.WriterTo(width, height, "svg")
 	if err != nil {
 		return "", err
