--- a/internal/ffsoak/checkstop.go
+++ b/internal/ffsoak/checkstop.go
@@ -107,7 +107,7 @@
 			f.violated(append([]string{"a planned stop cut a call in flight", line("stop", fault), line("call", c)}, linesOf(x.byKey[c.Key])...)...)
 		}
 	}
-	if x.lostElsewhere(c, fault) {
+	if x.lostElsewhere(c, fault) || refusedByEntry(c) {
 		return
 	}
 	if c.Entry == vm && c.Started.Before(fault.Began) && c.Outcome == ffclient.OutcomeUnknown && c.Ended.Before(inTime) {
@@ -116,6 +116,11 @@
 	}
 }
 
+// refusedByEntry reports whether the entry itself refused a call with a token,
+// for a reason that no stop brings about. The outcome is unknown then, since only
+// the gate of the token may say that the call did not run.
+func refusedByEntry(c *Call) bool { return c.Token && slices.Contains(settled, c.Reason) }
+
 // lostElsewhere reports whether the entry answered that the outcome is unknown
 // while some gate was down, cut off or without its target: no target ran the
 // call, so nothing tells which gate it waited at.
