--- a/internal/ffcommand/main.go
+++ b/internal/ffcommand/main.go
@@ -27,6 +27,7 @@
 	Diff    *Diff    `arg:"subcommand:diff" help:"print what changes from A to B, one line for each field"`
 	Explain *Explain `arg:"subcommand:explain" help:"print every limit, share, route and allowance that follows from the contract of CUSTOMER"`
 	Daemon  *Daemon  `arg:"subcommand:daemon" help:"run the process beside a target: distribute the configuration and carry the calls"`
+	Mesh    *Mesh    `arg:"subcommand:mesh" help:"run the process beside a target on the platform of the settings file"`
 	Status  *Status  `arg:"subcommand:status" help:"show what the daemons have in force, per data centre, with laggards named"`
 	Audit   *Audit   `arg:"subcommand:audit" help:"print the audit trails of all daemons as JSON lines, in order of time"`
 	KeyHash *KeyHash `arg:"subcommand:keyhash" help:"read a key from standard input and print its SHA-256 digest for keyHashes"`
--- /dev/null
+++ b/internal/ffgossip/error.go
@@ -0,0 +1,29 @@
+package ffgossip
+
+import "fmt"
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind tells what failed.
+type Kind int
+
+// Kinds of failure.
+const (
+	KindUnknown Kind = iota // unknown
+	KindListen              // listen
+	KindPull                // pull
+	KindDecode              // decode
+)
+
+// Error is a failure to exchange words with other daemons.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("ffgossip: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/ffgossip/node.go
@@ -0,0 +1,239 @@
+package ffgossip
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fireflyfall.dev/fireflyfall/internal/ffhop"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+)
+
+const (
+	// heartbeatEvery is the time between two heartbeats to the same peer in a small fleet.
+	heartbeatEvery = 250 * time.Millisecond
+	// heartbeatRate bounds the heartbeats that a daemon sends in a second.
+	heartbeatRate = 64
+	// maxDatagram is the longest heartbeat, in bytes.
+	maxDatagram = 1400
+	// pullTimeout bounds the pull of a word.
+	pullTimeout = 500 * time.Millisecond
+	// pulls bounds the pulls that wait.
+	pulls = 8
+)
+
+// Node exchanges heartbeats and words with the other daemons.
+type Node struct {
+	Name        string
+	DataCentre  string
+	Incarnation uint64
+	// Listen is the address of the heartbeats; the port is the same on every VM.
+	Listen netip.AddrPort
+	State  *State
+	Peers  *Peers
+	Reader *Reader
+	// Load returns what the gate knows of its target.
+	Load func() ffmesh.Load
+	// Heard is called for each heartbeat that is news.
+	Heard func(vm netip.Addr, h Heartbeat)
+	// Pool returns the connections to the daemon of a VM.
+	Pool func(vm netip.Addr) *ffhop.Pool
+	Log  zerolog.Logger
+
+	conn     *net.UDPConn
+	sequence atomic.Uint64
+	leaving  atomic.Bool
+	pull     chan netip.Addr
+	next     int
+	sending  sync.Mutex
+}
+
+// Run exchanges words until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.Listen))
+	if err != nil {
+		return &Error{Op: "listen for heartbeats", Kind: KindListen, Err: err}
+	}
+	n.conn = conn
+	n.pull = make(chan netip.Addr, pulls)
+	n.Reader.Place = func() int { return n.Peers.Place(n.Name, n.DataCentre, time.Now()) }
+	n.Reader.Spread = n.Spread
+	var wg sync.WaitGroup
+	for _, duty := range []func(context.Context){n.Reader.run, n.runHeartbeats, n.runPulls, n.runHearing} {
+		wg.Go(func() { duty(ctx) })
+	}
+	<-ctx.Done()
+	_ = conn.Close()
+	wg.Wait()
+	return nil
+}
+
+// Leave tells the others that the daemon is about to end.
+func (n *Node) Leave() {
+	n.leaving.Store(true)
+	n.Spread()
+}
+
+// Spread sends a heartbeat to every peer now.
+func (n *Node) Spread() { n.send(n.targets()) }
+
+// targets returns the other VMs: those with a target, and those heard of.
+func (n *Node) targets() []netip.Addr {
+	own := n.Listen.Addr()
+	seen := map[netip.Addr]bool{own: true}
+	var vms []netip.Addr
+	add := func(vm netip.Addr) {
+		if !seen[vm] {
+			seen[vm] = true
+			vms = append(vms, vm)
+		}
+	}
+	for _, t := range n.State.Fleet().All() {
+		add(t.VM())
+	}
+	for _, vm := range n.Peers.Known(time.Now()) {
+		add(vm)
+	}
+	return vms
+}
+
+// runHeartbeats sends heartbeats at a bounded rate.
+func (n *Node) runHeartbeats(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		n.send(n.share(n.targets()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// share returns the part of vms that is next in turn.
+func (n *Node) share(vms []netip.Addr) []netip.Addr {
+	most := int(heartbeatRate * heartbeatEvery / time.Second)
+	if len(vms) <= most {
+		return vms
+	}
+	part := make([]netip.Addr, 0, most)
+	for range most {
+		n.next = (n.next + 1) % len(vms)
+		part = append(part, vms[n.next])
+	}
+	return part
+}
+
+func (n *Node) heartbeat() Heartbeat {
+	w := n.State.Word()
+	h := Heartbeat{
+		Name: n.Name, DataCentre: n.DataCentre, Incarnation: n.Incarnation,
+		Sequence: n.sequence.Add(1), Leaving: n.leaving.Load(), Load: n.Load(),
+	}
+	if !w.Confirmed.IsZero() {
+		h.Revision, h.Age, h.Digest = w.Revision, time.Since(w.Confirmed), n.digest()
+	}
+	return h
+}
+
+// digest names the content without the targets that only this daemon holds.
+func (n *Node) digest() string {
+	_, fleet := n.State.Read()
+	w := *n.State.Word()
+	w.Fleet = fleet
+	return w.Digest()
+}
+
+func (n *Node) send(vms []netip.Addr) {
+	n.sending.Lock()
+	defer n.sending.Unlock()
+	b, err := json.Marshal(n.heartbeat())
+	if err != nil {
+		n.Log.Error().Err(err).Msg("heartbeat cannot be encoded")
+		return
+	}
+	failed := 0
+	for _, vm := range vms {
+		if _, err := n.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(vm, n.Listen.Port())); err != nil {
+			failed++
+		}
+	}
+	if failed > 0 {
+		n.Log.Debug().Int("failed", failed).Msg("heartbeats not sent")
+	}
+}
+
+// runHearing takes up the heartbeats of others.
+func (n *Node) runHearing(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		size, from, err := n.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				n.Log.Warn().Err(err).Msg("heartbeat not received")
+			}
+			continue
+		}
+		n.hear(from.Addr().Unmap(), buffer[:size])
+	}
+}
+
+func (n *Node) hear(vm netip.Addr, b []byte) {
+	var h Heartbeat
+	if err := json.Unmarshal(b, &h); err != nil {
+		n.Log.Warn().Err(err).Stringer("vm", vm).Msg("unreadable heartbeat")
+		return
+	}
+	now := time.Now()
+	if !n.Peers.Hear(vm, h, now) {
+		return
+	}
+	n.Heard(vm, h)
+	w := n.State.Word()
+	if h.Digest == "" || h.Revision < w.Revision {
+		return
+	}
+	if h.Digest == n.digest() {
+		n.State.Confirm(h.Revision, now.Add(-h.Age))
+		return
+	}
+	select {
+	case n.pull <- vm:
+	default:
+	}
+}
+
+// runPulls fetches the words of peers that know more.
+func (n *Node) runPulls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case vm := <-n.pull:
+			n.pullFrom(ctx, vm)
+		}
+	}
+}
+
+func (n *Node) pullFrom(ctx context.Context, vm netip.Addr) {
+	peer, ok := n.Peers.Get(vm)
+	if !ok || peer.Last.Revision < n.State.Word().Revision || peer.Last.Digest == n.digest() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	c, err := fetch(ctx, n.Pool(vm), n.State.Word().Version())
+	if err != nil {
+		n.Log.Warn().Err(err).Stringer("vm", vm).Msg("word not pulled")
+		return
+	}
+	_, known := n.State.Read()
+	n.State.Offer(vm.String(), c.Revision, time.Now().Add(-c.Age), c.Table, replace(known, c.Targets))
+}
--- /dev/null
+++ b/internal/ffgossip/reader.go
@@ -0,0 +1,151 @@
+package ffgossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+)
+
+const (
+	// readAge is the age at which the first daemon in order reads again, and
+	// readStep what each further one waits longer.
+	readAge  = 600 * time.Millisecond
+	readStep = 150 * time.Millisecond
+	// maxReadAge is the age at which every daemon reads, whatever its place.
+	maxReadAge = 1300 * time.Millisecond
+	// readTimeout bounds one call to the store.
+	readTimeout = 900 * time.Millisecond
+	// watchWait is how long a call waits for the first change.
+	watchWait = 400 * time.Millisecond
+	// readTick is the interval of looks at the age of the word.
+	readTick = 40 * time.Millisecond
+	// Pauses after a failed call.
+	minBackoff = 150 * time.Millisecond
+	maxBackoff = 1200 * time.Millisecond
+	// fullReadEvery bounds the time between two complete reads by one reader, since
+	// a watch may have missed changes.
+	fullReadEvery = 8 * time.Second
+)
+
+// Reader reads the store when nobody else has done so in time.
+type Reader struct {
+	Source Source
+	State  *State
+	Log    zerolog.Logger
+	// Place returns this daemon's place in the order of readers, from 0.
+	Place func() int
+	// Spread is called after each read; it may be nil.
+	Spread func()
+
+	failures int
+	notUntil time.Time
+	full     time.Time
+	lost     bool
+}
+
+// run reads until ctx ends.
+func (r *Reader) run(ctx context.Context) {
+	ticker := time.NewTicker(readTick)
+	defer ticker.Stop()
+	for {
+		if now := time.Now(); r.due(now) {
+			r.read(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// due reports whether it is this daemon's turn to read.
+func (r *Reader) due(now time.Time) bool {
+	if now.Before(r.notUntil) {
+		return false
+	}
+	w := r.State.Word()
+	if w.Confirmed.IsZero() || w.Table == nil {
+		return true
+	}
+	return now.Sub(w.Confirmed) > min(readAge+time.Duration(r.Place())*readStep, maxReadAge)
+}
+
+// read asks the store once.
+func (r *Reader) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	started := time.Now()
+	revision, fleet := r.State.Read()
+	var err error
+	if revision == 0 || r.lost || started.Sub(r.full) > fullReadEvery {
+		err = r.readFull(ctx, started)
+	} else {
+		err = r.readChanges(ctx, started, revision, fleet)
+	}
+	r.note(err)
+	if err == nil && r.Spread != nil {
+		r.Spread()
+	}
+}
+
+func (r *Reader) readFull(ctx context.Context, started time.Time) error {
+	full, err := r.Source.Read(ctx)
+	if err != nil {
+		return err
+	}
+	_, known := r.State.Read()
+	r.State.Offer("store", full.Revision, started, full.Table, replace(known, full.Targets))
+	r.full = started
+	r.lost = false
+	return nil
+}
+
+// replace returns the fleet of a complete read, keeping later words of the same
+// targets than it holds.
+func replace(known fffleet.Fleet, targets []fffleet.Target) fffleet.Fleet {
+	var changes []fffleet.Change
+	for i := range targets {
+		changes = append(changes, fffleet.Change{ID: targets[i].ID, Target: &targets[i]})
+	}
+	for _, t := range known.Without(fffleet.New(targets)) {
+		changes = append(changes, fffleet.Change{ID: t.ID})
+	}
+	return known.With(changes)
+}
+
+func (r *Reader) readChanges(ctx context.Context, started time.Time, revision uint64, fleet fffleet.Fleet) error {
+	changes, lost, err := r.Source.Changes(ctx, revision, watchWait)
+	if err != nil {
+		r.lost = true
+		return err
+	}
+	if lost {
+		r.Log.Warn().Uint64("revision", revision).Msg("history of the store is gone")
+		return r.readFull(ctx, started)
+	}
+	r.State.Offer("store", changes.Revision, started, changes.Table, fleet.With(changes.Targets))
+	return nil
+}
+
+// note keeps the pause after failures, and logs a lost and a regained store.
+func (r *Reader) note(err error) {
+	if err == nil {
+		if r.failures > 0 {
+			r.Log.Info().Int("failures", r.failures).Msg("store regained")
+		}
+		r.failures = 0
+		return
+	}
+	r.failures++
+	pause := min(minBackoff<<min(r.failures-1, 4), maxBackoff)
+	pause = pause/2 + time.Duration(rand.Int64N(int64(pause)))
+	r.notUntil = time.Now().Add(pause)
+	if r.failures == 1 {
+		r.Log.Warn().Err(err).Msg("store lost")
+	}
+}
--- /dev/null
+++ b/internal/ffgossip/state.go
@@ -0,0 +1,137 @@
+package ffgossip
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+	"fireflyfall.dev/fireflyfall/internal/ffroute"
+)
+
+const (
+	// outageAge is the age of the word beyond which the store counts as away.
+	outageAge = 1500 * time.Millisecond
+	// lapseGrace is how long after the store's return a target is used whose
+	// entry may have lapsed meanwhile.
+	lapseGrace = 2 * time.Second
+)
+
+// State holds the latest word and never goes back to an older configuration. The
+// zero value knows nothing.
+type State struct {
+	Log zerolog.Logger
+	// Changed is called after each change of content; it may be nil.
+	Changed func(w *Word)
+
+	word  atomic.Pointer[Word]
+	mu    sync.Mutex
+	read  fffleet.Fleet
+	held  []fffleet.Target
+	until time.Time
+}
+
+// Word returns the latest word; the zero Word while nothing is known.
+func (s *State) Word() *Word {
+	if w := s.word.Load(); w != nil {
+		return w
+	}
+	return &Word{}
+}
+
+// Table returns the configuration in force, or nil.
+func (s *State) Table() *ffroute.Table { return s.Word().Table }
+
+// Fleet returns the targets to use: those of the word, and those that are held
+// after an outage.
+func (s *State) Fleet() fffleet.Fleet { return s.Word().Fleet }
+
+// Offer takes up what a read or a peer says, as far as it is news. from names the
+// source for the log.
+func (s *State) Offer(from string, revision uint64, confirmed time.Time, table *ffroute.Table, fleet fffleet.Fleet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	old := s.Word()
+	if revision < old.Revision {
+		s.offerTable(from, old, table)
+		return
+	}
+	next := &Word{Revision: revision, Confirmed: confirmed, Table: newer(old.Table, table)}
+	if confirmed.Before(old.Confirmed) {
+		next.Confirmed = old.Confirmed
+	}
+	s.hold(old, fleet, now)
+	s.read = fleet
+	next.Fleet = fleet.Holding(s.held)
+	s.publish(from, old, next)
+}
+
+// offerTable takes up just a newer configuration.
+func (s *State) offerTable(from string, old *Word, table *ffroute.Table) {
+	if newer(old.Table, table) == old.Table {
+		return
+	}
+	next := *old
+	next.Table = table
+	s.publish(from, old, &next)
+}
+
+func newer(a, b *ffroute.Table) *ffroute.Table {
+	if a == nil || b != nil && b.Version > a.Version {
+		return b
+	}
+	return a
+}
+
+// hold keeps the targets that went missing while the store was away. The caller
+// holds the lock.
+func (s *State) hold(old *Word, fleet fffleet.Fleet, now time.Time) {
+	if !old.Confirmed.IsZero() && now.Sub(old.Confirmed) > outageAge {
+		s.until = now.Add(lapseGrace)
+		s.held = s.read.Without(fleet)
+	}
+	s.held = slices.DeleteFunc(s.held, func(t fffleet.Target) bool {
+		_, back := fleet.Get(t.ID)
+		return back || now.After(s.until)
+	})
+}
+
+func (s *State) publish(from string, old, next *Word) {
+	s.word.Store(next)
+	if old.Digest() == next.Digest() {
+		return
+	}
+	s.Log.Info().Str("from", from).Uint64("revision", next.Revision).Uint64("version", next.Version()).
+		Int("targets", next.Fleet.Len()).Int("held", len(s.held)).
+		Dur("age", time.Since(next.Confirmed)).Msg("word changed")
+	if s.Changed != nil {
+		s.Changed(next)
+	}
+}
+
+// Confirm notes that the content in force was still right at a later revision.
+func (s *State) Confirm(revision uint64, confirmed time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.Word()
+	if revision < old.Revision || confirmed.Before(old.Confirmed) {
+		return
+	}
+	next := *old
+	next.Revision = revision
+	next.Confirmed = confirmed
+	s.hold(old, s.read, time.Now())
+	next.Fleet = s.read.Holding(s.held)
+	s.publish("confirmation", old, &next)
+}
+
+// Read returns the targets as the store listed them last, without those held.
+func (s *State) Read() (revision uint64, fleet fffleet.Fleet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Word().Revision, s.read
+}
--- /dev/null
+++ b/internal/ffhop/exchange.go
@@ -0,0 +1,205 @@
+package ffhop
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Sizes of what is written at once and kept whole, in bytes.
+const (
+	joinedBody = 16 << 10
+	streamPart = 16 << 10
+)
+
+// Request is one request as it goes out.
+type Request struct {
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Stream takes the place of Body when it is set; Length is its length or -1.
+	Stream io.Reader
+	Length int64
+}
+
+// Exchange is one request under way on a connection.
+type Exchange struct {
+	conn    *Conn
+	ctx     context.Context
+	release func() bool
+	method  string
+	written chan error
+	wrote   bool
+}
+
+// Start sends a request. A long body goes out while the answer is awaited. After
+// an error nothing of the request was sent when its kind is KindUnsent; the
+// connection is closed.
+func (c *Conn) Start(ctx context.Context, r *Request) (*Exchange, error) {
+	e := &Exchange{conn: c, ctx: ctx, method: r.Method, release: c.bind(ctx)}
+	head := r.head()
+	if r.Stream == nil && len(r.Body) <= joinedBody {
+		head.Write(r.Body)
+		n, err := c.net.Write(head.Bytes())
+		e.wrote = n > 0
+		if err != nil {
+			return nil, e.fail("send", err)
+		}
+		return e, nil
+	}
+	n, err := c.net.Write(head.Bytes())
+	e.wrote = n > 0
+	if err != nil {
+		return nil, e.fail("send", err)
+	}
+	e.written = make(chan error, 1)
+	go e.runBody(r)
+	return e, nil
+}
+
+// runBody sends the body of a request.
+func (e *Exchange) runBody(r *Request) {
+	if r.Stream == nil {
+		_, err := e.conn.net.Write(r.Body)
+		e.written <- err
+		return
+	}
+	if r.Length >= 0 {
+		n, err := io.CopyBuffer(onlyWriter{e.conn.net}, io.LimitReader(r.Stream, r.Length), make([]byte, streamPart))
+		if err == nil && n < r.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			e.conn.Close()
+		}
+		e.written <- err
+		return
+	}
+	err := copyChunks(e.conn.net, r.Stream)
+	if err != nil {
+		e.conn.Close()
+	}
+	e.written <- err
+}
+
+type onlyWriter struct{ io.Writer }
+
+// copyChunks sends a body of unknown length. It sends no last chunk unless the
+// body is whole.
+func copyChunks(w io.Writer, r io.Reader) error {
+	part := make([]byte, streamPart)
+	var out bytes.Buffer
+	for {
+		n, err := r.Read(part)
+		if n > 0 {
+			out.Reset()
+			out.WriteString(strconv.FormatInt(int64(n), 16) + "\r\n")
+			out.Write(part[:n])
+			out.WriteString("\r\n")
+			if _, err := w.Write(out.Bytes()); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			_, err = io.WriteString(w, "0\r\n\r\n")
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (e *Exchange) fail(op string, err error) error {
+	e.release()
+	e.conn.Close()
+	kind := KindBroken
+	if !e.wrote {
+		kind = KindUnsent
+	}
+	if cause := context.Cause(e.ctx); cause != nil {
+		err = cause
+	}
+	return &Error{Op: op, Kind: kind, Err: err}
+}
+
+// Receive reads the head of the next answer. After an error the connection is closed.
+func (e *Exchange) Receive() (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
+		if err != nil {
+			return nil, e.fail("receive", err)
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
+// Abort ends the exchange and its connection.
+func (e *Exchange) Abort() {
+	e.release()
+	e.conn.Close()
+}
+
+// Finish ends an exchange whose answer was read whole. It returns the connection
+// if that can carry another exchange, and closes it otherwise.
+func (e *Exchange) Finish(resp *http.Response) *Conn {
+	if e.release() && !resp.Close && e.conn.reader.Buffered() == 0 && e.bodySent() {
+		return e.conn
+	}
+	e.conn.Close()
+	return nil
+}
+
+// bodySent reports whether the whole request went out.
+func (e *Exchange) bodySent() bool {
+	if e.written == nil {
+		return true
+	}
+	select {
+	case err := <-e.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// KeepFor returns how long an idle connection may be used again by the word of an answer.
+func KeepFor(resp *http.Response, otherwise time.Duration) time.Duration {
+	for _, line := range resp.Header["Keep-Alive"] {
+		for part := range strings.SplitSeq(line, ",") {
+			value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+			if !ok {
+				continue
+			}
+			if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+				return time.Duration(s) * time.Second * 7 / 10
+			}
+		}
+	}
+	return otherwise
+}
+
+func (r *Request) head() *bytes.Buffer {
+	var b bytes.Buffer
+	b.Grow(joinedBody / 16)
+	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.WriteSubset(&b, nil)
+	switch {
+	case r.Stream != nil && r.Length < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case r.Stream != nil:
+		b.WriteString("Content-Length: " + strconv.FormatInt(r.Length, 10) + "\r\n")
+	case len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return &b
+}
--- /dev/null
+++ b/internal/ffinbound/gate.go
@@ -0,0 +1,259 @@
+package ffinbound
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+	"fireflyfall.dev/fireflyfall/internal/ffhop"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+)
+
+// defaultSlots is assumed for a target that does not tell its slots.
+const defaultSlots = 4
+
+// Local tells which target is believed to run beside the daemon.
+type Local interface {
+	// Local returns the target, and false when none is known.
+	Local() (fffleet.Target, bool)
+}
+
+// Gate stands before the one target beside the daemon.
+type Gate struct {
+	Target  Local
+	Dialect ffmesh.Dialect
+	Pool    *ffhop.Pool
+	Log     zerolog.Logger
+
+	mu      sync.Mutex
+	id      string
+	slots   int
+	running int
+	queue   queue
+	times   times
+	// due sums the expected ends of the running calls, for the estimate of waits.
+	due    map[*waiter]time.Time
+	closed bool
+}
+
+// Do implements ffmesh.Gate.
+func (g *Gate) Do(ctx context.Context, c *ffmesh.Call) *ffmesh.Reply {
+	target, refusal := g.admit(c)
+	if refusal != nil {
+		return g.seal(refusal)
+	}
+	w, refusal := g.enter(c)
+	if refusal != nil {
+		return g.seal(refusal)
+	}
+	if refusal := g.wait(ctx, w); refusal != nil {
+		return g.seal(refusal)
+	}
+	started := time.Now()
+	reply := g.send(ctx, c, target)
+	if reply.Stream != nil {
+		reply.Stream = &held{ReadCloser: reply.Stream, release: func() { g.leave(w, c, reply, started) }}
+		return g.seal(reply)
+	}
+	g.leave(w, c, reply, started)
+	return g.seal(reply)
+}
+
+func (g *Gate) seal(r *ffmesh.Reply) *ffmesh.Reply {
+	r.Load = g.Load()
+	return r
+}
+
+func refuse(reason ffmesh.Reason, in time.Duration) *ffmesh.Reply {
+	return &ffmesh.Reply{Outcome: ffmesh.OutcomeNotRun, Reason: reason, RetryIn: in}
+}
+
+// admit checks that the call is meant for the target that runs here.
+func (g *Gate) admit(c *ffmesh.Call) (fffleet.Target, *ffmesh.Reply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	target, ok := g.Target.Local()
+	switch {
+	case g.closed:
+		return target, refuse(ffmesh.ReasonLeaving, 0)
+	case !ok || target.Service != c.Service:
+		return target, refuse(ffmesh.ReasonNoTarget, 0)
+	case c.Target != "" && c.Target != target.ID:
+		return target, refuse(ffmesh.ReasonMisdirect, 0)
+	case target.State == fffleet.StateDraining:
+		return target, refuse(ffmesh.ReasonDraining, 0)
+	}
+	g.follow(target)
+	return target, nil
+}
+
+// follow takes up a new life of the target. The caller holds the lock.
+func (g *Gate) follow(t fffleet.Target) {
+	g.slots = t.Slots
+	if g.slots <= 0 {
+		g.slots = defaultSlots
+	}
+	if g.id == t.ID {
+		return
+	}
+	g.id = t.ID
+	g.times.reset()
+	g.Pool.Clear()
+}
+
+// enter queues a call, or refuses it when it cannot be in time.
+func (g *Gate) enter(c *ffmesh.Call) (*waiter, *ffmesh.Reply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	w := &waiter{
+		priority:  c.Priority,
+		objective: c.Objective,
+		deadline:  c.Deadline,
+		expected:  g.times.expected(c.Priority),
+		granted:   make(chan bool, 1),
+	}
+	delay := g.delay(w, now)
+	if w.hopeless(now.Add(delay)) {
+		return nil, refuse(ffmesh.ReasonBusy, delay)
+	}
+	g.queue.push(w)
+	g.dispatch(now)
+	return w, nil
+}
+
+// delay estimates how long w waits for a slot. The caller holds the lock.
+func (g *Gate) delay(w *waiter, now time.Time) time.Duration {
+	ahead := g.queue.ahead(w, now)
+	if g.running < g.slots && len(g.queue.waiting) == 0 {
+		return 0
+	}
+	var left time.Duration
+	for _, end := range g.due {
+		left += max(end.Sub(now), g.times.typical()/4)
+	}
+	return (ahead + left) / time.Duration(g.slots)
+}
+
+// dispatch gives free slots away. The caller holds the lock.
+func (g *Gate) dispatch(now time.Time) {
+	for g.running < g.slots {
+		w := g.queue.pop(now)
+		if w == nil {
+			return
+		}
+		if w.hopeless(now) {
+			w.granted <- false
+			continue
+		}
+		g.running++
+		if g.due == nil {
+			g.due = make(map[*waiter]time.Time)
+		}
+		g.due[w] = now.Add(w.expected)
+		w.granted <- true
+	}
+}
+
+// wait blocks until the call has a slot, or returns its refusal.
+func (g *Gate) wait(ctx context.Context, w *waiter) *ffmesh.Reply {
+	select {
+	case ok := <-w.granted:
+		return g.late(ok)
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	waited := g.queue.remove(w)
+	g.mu.Unlock()
+	if !waited && <-w.granted {
+		g.release(w)
+	}
+	return refuse(ffmesh.ReasonCanceled, 0)
+}
+
+func (g *Gate) late(granted bool) *ffmesh.Reply {
+	if granted {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return refuse(ffmesh.ReasonDeadline, g.times.typical())
+}
+
+func (g *Gate) release(w *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	delete(g.due, w)
+	g.dispatch(time.Now())
+}
+
+// leave gives the slot of a call back and learns from what became of it.
+func (g *Gate) leave(w *waiter, c *ffmesh.Call, r *ffmesh.Reply, started time.Time) {
+	now := time.Now()
+	g.mu.Lock()
+	if r.Outcome == ffmesh.OutcomeRan {
+		g.times.observe(c.Priority, now.Sub(started))
+	}
+	if r.Reason != ffmesh.ReasonCanceled {
+		g.times.outcome(now, r.Reason != ffmesh.ReasonNone || r.Status >= 500)
+	}
+	g.mu.Unlock()
+	g.release(w)
+}
+
+// Load returns what the gate knows of its target now.
+func (g *Gate) Load() ffmesh.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	target, ok := g.Target.Local()
+	l := ffmesh.Load{
+		Target:  target.ID,
+		Running: g.running,
+		Queued:  len(g.queue.waiting),
+		Slots:   target.Slots,
+		Typical: g.times.typical(),
+		Failing: g.times.failures(now),
+		Closed:  g.closed || !ok || target.State == fffleet.StateDraining,
+	}
+	for _, end := range g.due {
+		l.Busy += max(end.Sub(now), 0)
+	}
+	for _, w := range g.queue.waiting {
+		l.Busy += w.expected
+	}
+	return l
+}
+
+// Close refuses every call from now on, and those that wait.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.flush()
+}
+
+// Drain refuses the calls that wait, because the target is leaving.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.flush()
+}
+
+func (g *Gate) flush() {
+	for _, w := range g.queue.waiting {
+		w.granted <- false
+	}
+	g.queue.waiting = nil
+}
+
+// Running returns the number of calls at the target.
+func (g *Gate) Running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running
+}
--- /dev/null
+++ b/internal/ffmesh/call.go
@@ -0,0 +1,39 @@
+package ffmesh
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffroute"
+)
+
+// Call is one request on its way from the entry to a target.
+type Call struct {
+	// ID is the client's own name of this attempt.
+	ID     string
+	Method string
+	// URI is the request target as the client wrote it.
+	URI    string
+	Host   string
+	Header http.Header
+	// Body is the whole body, unless Stream is set.
+	Body []byte
+	// Stream delivers a body that is not held whole; it can be sent only once.
+	Stream io.Reader
+	// Length is the length of the body in bytes; -1 when it is not known.
+	Length int64
+	// Origin is the service of the VM on which the request began.
+	Origin  string
+	Service string
+	// Target is the ID of the target that alone may run the call.
+	Target   string
+	Kind     ffroute.Kind
+	Priority int
+	// Deadline is the time after which nobody waits for the answer.
+	Deadline time.Time
+	// Objective is the time until which an answer is worth most.
+	Objective time.Time
+	// Received is when the entry had read the head of the request.
+	Received time.Time
+}
--- /dev/null
+++ b/internal/ffmeshpeer/server.go
@@ -0,0 +1,67 @@
+package ffmeshpeer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+)
+
+// Handler serves the calls of other daemons at this VM's gate.
+type Handler struct {
+	Gate ffmesh.Gate
+	Log  zerolog.Logger
+}
+
+// ServeHTTP runs one call.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var head callHead
+	if err := json.Unmarshal([]byte(r.Header.Get(callHeader)), &head); err != nil {
+		h.Log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("call without a readable head")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	c := head.call(time.Now())
+	c.Method, c.URI, c.Host = r.Method, r.RequestURI, r.Host
+	c.Header = ffmesh.EndToEnd(r.Header)
+	c.Header.Del(callHeader)
+	body, stream, err := ffmesh.ReadBody(r)
+	if err != nil {
+		h.Log.Warn().Err(err).Str("request", c.ID).Msg("body of a call broke off")
+		panic(http.ErrAbortHandler)
+	}
+	c.Body, c.Stream, c.Length = body, stream, r.ContentLength
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	h.write(w, c, h.Gate.Do(ctx, c))
+}
+
+func (h *Handler) write(w http.ResponseWriter, c *ffmesh.Call, r *ffmesh.Reply) {
+	head, err := replyHeadOf(r)
+	if err != nil {
+		h.Log.Error().Err(err).Str("request", c.ID).Msg("reply cannot be encoded")
+		panic(http.ErrAbortHandler)
+	}
+	ffmesh.CopyHeader(w.Header(), r.Header)
+	w.Header().Set(replyHeader, head)
+	if r.Stream == nil {
+		w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
+		w.WriteHeader(http.StatusOK)
+		_, _ = w.Write(r.Body)
+		return
+	}
+	defer func() { _ = r.Stream.Close() }()
+	w.WriteHeader(http.StatusOK)
+	if _, err := w.Write(r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if _, err := io.Copy(w, r.Stream); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/ffnode/local.go
@@ -0,0 +1,42 @@
+package ffnode
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+	"fireflyfall.dev/fireflyfall/internal/ffgossip"
+	"fireflyfall.dev/fireflyfall/internal/ffinbound"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+	"fireflyfall.dev/fireflyfall/internal/ffmeshpeer"
+)
+
+// localTarget tells which target runs beside the daemon.
+type localTarget struct {
+	settings *atomic.Pointer[Settings]
+	state    *ffgossip.State
+}
+
+// Local implements ffinbound.Local.
+func (l localTarget) Local() (fffleet.Target, bool) {
+	s := l.settings.Load()
+	if !s.Target.IsValid() {
+		return fffleet.Target{}, false
+	}
+	return l.state.Fleet().At(s.Target)
+}
+
+// gates reaches the gate of this VM directly, and those of others over the network.
+type gates struct {
+	vm     netip.Addr
+	local  *ffinbound.Gate
+	remote *ffmeshpeer.Client
+}
+
+// Gate implements ffoutbound.Gates.
+func (g gates) Gate(vm netip.Addr) ffmesh.Gate {
+	if vm == g.vm {
+		return g.local
+	}
+	return g.remote.Gate(vm)
+}
--- /dev/null
+++ b/internal/ffnode/node.go
@@ -0,0 +1,186 @@
+package ffnode
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"fireflyfall.dev/fireflyfall/internal/ffgossip"
+	"fireflyfall.dev/fireflyfall/internal/ffinbound"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+	"fireflyfall.dev/fireflyfall/internal/ffmeshpeer"
+	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
+)
+
+const (
+	// headTimeout bounds the time in which the head of a request comes in.
+	headTimeout = 10 * time.Second
+	// peerIdle is longer than peers keep their idle connections.
+	peerIdle = time.Minute
+	// defaultIdle is how long an idle client keeps its connection while no
+	// configuration says.
+	defaultIdle = time.Minute
+	// sweepEvery is the interval of looks at idle connections and the fleet's size.
+	sweepEvery = 500 * time.Millisecond
+)
+
+// Node is the daemon beside a target.
+type Node struct {
+	Settings *atomic.Pointer[Settings]
+	State    *ffgossip.State
+	Gate     *ffinbound.Gate
+	Client   *ffmeshpeer.Client
+	Entry    *ffoutbound.Handler
+	Budget   *ffoutbound.Budget
+	Gossip   *ffgossip.Node
+	Registry *prometheus.Registry
+	Log      zerolog.Logger
+}
+
+// Run assembles a daemon and serves until ctx ends; then it leaves without
+// cutting a request. Each value of reloads replaces the settings.
+func Run(ctx context.Context, s Settings, reloads <-chan Settings, source ffgossip.Source, dialect ffmesh.Dialect, log zerolog.Logger) error {
+	n, err := assemble(s, source, dialect, log)
+	if err != nil {
+		return err
+	}
+	return n.run(ctx, reloads)
+}
+
+// servers are the HTTP servers of a daemon.
+type servers struct {
+	all     []*http.Server
+	callers *http.Server
+	clients connections
+}
+
+func (n *Node) run(ctx context.Context, reloads <-chan Settings) error {
+	s := n.Settings.Load()
+	n.Log.Info().Stringer("callers", s.Callers).Stringer("target", s.Target).Str("service", s.Service).Msg("start")
+	n.State.Changed = n.changed
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, serving := errgroup.WithContext(serving)
+	sv := &servers{}
+	ready := &ready{state: n.State}
+	for _, one := range []struct {
+		address netip.AddrPort
+		server  *http.Server
+	}{
+		{s.Callers, sv.caller(n.Entry)},
+		{s.Peers, sv.plain(n.peerHandler())},
+		{s.Ready, sv.plain(ready)},
+		{s.Metrics, sv.plain(metricsHandler(n.Registry))},
+	} {
+		l, err := net.Listen("tcp4", one.address.String())
+		if err != nil {
+			return &Error{Op: "listen", Kind: KindListen, Err: err}
+		}
+		group.Go(func() error { return serve(one.server, l) })
+	}
+	group.Go(func() error { return n.Gossip.Run(serving) })
+	group.Go(func() error { n.runSweeps(serving, sv); return nil })
+	group.Go(func() error { n.runReloads(serving, reloads); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.leave(sv, ready)
+		case <-serving.Done():
+		}
+		stop()
+		sv.close()
+		return nil
+	})
+	err := group.Wait()
+	n.Log.Info().AnErr("err", err).Msg("stop")
+	if err != nil {
+		return &Error{Op: "run", Kind: KindServe, Err: err}
+	}
+	return nil
+}
+
+// peerHandler serves the calls of other daemons, and the word.
+func (n *Node) peerHandler() http.Handler {
+	calls := &ffmeshpeer.Handler{Gate: n.Gate, Log: n.Log}
+	word := &ffgossip.ContentHandler{State: n.State}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == ffgossip.ContentPath {
+			word.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// caller returns the server of the clients.
+func (sv *servers) caller(h http.Handler) *http.Server {
+	sv.callers = &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, ConnState: sv.clients.state}
+	sv.all = append(sv.all, sv.callers)
+	return sv.callers
+}
+
+func (sv *servers) plain(h http.Handler) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: peerIdle}
+	sv.all = append(sv.all, s)
+	return s
+}
+
+func (sv *servers) close() {
+	for _, s := range sv.all {
+		_ = s.Close()
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// changed takes up new content of the word.
+func (n *Node) changed(w *ffgossip.Word) {
+	n.Budget.Set(n.Settings.Load().Repeats, w.Fleet.Len())
+}
+
+// runSweeps closes idle connections that are past their time.
+func (n *Node) runSweeps(ctx context.Context, sv *servers) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			idle := defaultIdle
+			if t := n.State.Table(); t != nil && t.Limits.IdleTimeout > 0 {
+				idle = t.Limits.IdleTimeout
+			}
+			sv.clients.closeIdle(now.Add(-idle))
+			n.Client.Trim(now)
+			n.Gate.Pool.Trim(now)
+		}
+	}
+}
+
+// runReloads takes up changed settings.
+func (n *Node) runReloads(ctx context.Context, reloads <-chan Settings) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-reloads:
+			n.Settings.Store(&s)
+			n.Budget.Set(s.Repeats, n.State.Fleet().Len())
+			n.Log.Info().Str("service", s.Service).Stringer("target", s.Target).Msg("reload")
+		}
+	}
+}
--- /dev/null
+++ b/internal/ffnode/provide.go
@@ -0,0 +1,115 @@
+package ffnode
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+
+	"fireflyfall.dev/fireflyfall/internal/ffgossip"
+	"fireflyfall.dev/fireflyfall/internal/ffhop"
+	"fireflyfall.dev/fireflyfall/internal/ffinbound"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+	"fireflyfall.dev/fireflyfall/internal/ffmeshpeer"
+	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
+)
+
+const (
+	// targetDial bounds a connection to the target beside the daemon.
+	targetDial = 300 * time.Millisecond
+	// targetIdle bounds the idle connections to the target.
+	targetIdle = 64
+)
+
+func provideSettings(s Settings) *atomic.Pointer[Settings] {
+	p := &atomic.Pointer[Settings]{}
+	p.Store(&s)
+	return p
+}
+
+func provideState(log zerolog.Logger) *ffgossip.State { return &ffgossip.State{Log: log} }
+
+func provideLocal(s *atomic.Pointer[Settings], state *ffgossip.State) localTarget {
+	return localTarget{settings: s, state: state}
+}
+
+func provideGate(s Settings, local localTarget, dialect ffmesh.Dialect, log zerolog.Logger) *ffinbound.Gate {
+	return &ffinbound.Gate{
+		Target:  local,
+		Dialect: dialect,
+		Pool:    &ffhop.Pool{Address: s.Target.String(), Dialer: ffhop.Dialer(targetDial), MaxIdle: targetIdle},
+		Log:     log,
+	}
+}
+
+func provideClient(s Settings, log zerolog.Logger) *ffmeshpeer.Client {
+	return &ffmeshpeer.Client{Port: s.Peers.Port(), Log: log}
+}
+
+func provideGates(s Settings, gate *ffinbound.Gate, client *ffmeshpeer.Client) gates {
+	return gates{vm: s.Peers.Addr(), local: gate, remote: client}
+}
+
+func providePicker(s Settings, board *ffoutbound.Board) *ffoutbound.Picker {
+	return &ffoutbound.Picker{Place: ffoutbound.Place{VM: s.Peers.Addr(), DataCentre: s.DataCentre}, Board: board}
+}
+
+func provideBudget(s Settings) *ffoutbound.Budget {
+	b := &ffoutbound.Budget{}
+	b.Set(s.Repeats, 1)
+	return b
+}
+
+func provideRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+func provideMetrics(r *prometheus.Registry) (*ffoutbound.Metrics, error) {
+	m, err := ffoutbound.NewMetrics(r)
+	if err != nil {
+		return nil, &Error{Op: "register metrics", Kind: KindMetrics, Err: err}
+	}
+	return m, nil
+}
+
+func provideHandler(
+	s *atomic.Pointer[Settings], state *ffgossip.State, gates gates, dialect ffmesh.Dialect,
+	picker *ffoutbound.Picker, budget *ffoutbound.Budget, metrics *ffoutbound.Metrics, log zerolog.Logger,
+) *ffoutbound.Handler {
+	return &ffoutbound.Handler{
+		Origin:  func() string { return s.Load().Service },
+		Words:   state,
+		Gates:   gates,
+		Dialect: dialect,
+		Picker:  picker,
+		Budget:  budget,
+		Metrics: metrics,
+		Log:     log,
+	}
+}
+
+func provideReader(source ffgossip.Source, state *ffgossip.State, log zerolog.Logger) *ffgossip.Reader {
+	return &ffgossip.Reader{Source: source, State: state, Log: log}
+}
+
+func provideNode(
+	s Settings, state *ffgossip.State, peers *ffgossip.Peers, reader *ffgossip.Reader,
+	gate *ffinbound.Gate, board *ffoutbound.Board, client *ffmeshpeer.Client, log zerolog.Logger,
+) *ffgossip.Node {
+	return &ffgossip.Node{
+		Name: s.Name, DataCentre: s.DataCentre, Incarnation: rand.Uint64(), Listen: s.Heartbeats,
+		State: state, Peers: peers, Reader: reader,
+		Load: gate.Load,
+		Heard: func(vm netip.Addr, h ffgossip.Heartbeat) {
+			board.Hear(vm, h.Load, h.Leaving, time.Now())
+		},
+		Pool: client.Pool,
+		Log:  log,
+	}
+}
--- /dev/null
+++ b/internal/ffoutbound/board.go
@@ -0,0 +1,96 @@
+package ffoutbound
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+)
+
+const (
+	// silentAfter is how long a VM may send no heartbeat before it is avoided.
+	silentAfter = 900 * time.Millisecond
+	// downFor is how long a VM is avoided that refused a connection.
+	downFor = 1500 * time.Millisecond
+)
+
+// fact is what the entry knows of the gate on one VM.
+type fact struct {
+	load ffmesh.Load
+	// heard is when the last heartbeat came; learned when load was last told.
+	heard   time.Time
+	learned time.Time
+	down    time.Time
+	leaving bool
+	// open counts our calls there; since counts those that began after learned.
+	open  int
+	since int
+}
+
+// Board holds what is known of every gate. The zero value knows nothing.
+type Board struct {
+	mu    sync.Mutex
+	facts map[netip.Addr]*fact
+}
+
+func (b *Board) of(vm netip.Addr) *fact {
+	if b.facts == nil {
+		b.facts = make(map[netip.Addr]*fact)
+	}
+	f, ok := b.facts[vm]
+	if !ok {
+		f = &fact{}
+		b.facts[vm] = f
+	}
+	return f
+}
+
+// Hear takes up a heartbeat.
+func (b *Board) Hear(vm netip.Addr, load ffmesh.Load, leaving bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := b.of(vm)
+	f.load, f.leaving = load, leaving
+	f.heard, f.learned = now, now
+	f.since = 0
+	f.down = time.Time{}
+}
+
+// learn takes up the load that came with a reply.
+func (b *Board) learn(vm netip.Addr, load ffmesh.Load, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := b.of(vm)
+	f.load, f.learned = load, now
+	f.since = 0
+}
+
+// fail marks a VM that could not be reached.
+func (b *Board) fail(vm netip.Addr, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(vm).down = now.Add(downFor)
+}
+
+// begin counts a call to a VM; end takes it back.
+func (b *Board) begin(vm netip.Addr) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := b.of(vm)
+	f.open++
+	f.since++
+}
+
+func (b *Board) end(vm netip.Addr) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(vm).open--
+}
+
+// get returns a copy of what is known of a VM.
+func (b *Board) get(vm netip.Addr) fact {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return *b.of(vm)
+}
--- /dev/null
+++ b/internal/ffoutbound/budget.go
@@ -0,0 +1,91 @@
+package ffoutbound
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// budgetParts is the number of parts of the window that are counted apart.
+	budgetParts = 20
+	// budgetUse is the part of the fleet's budget that entries spend, since calls
+	// of repeated runs count as repeats too.
+	budgetUse = 0.5
+)
+
+// Allowance is the fleet's budget for repeats of the requests for one service.
+type Allowance struct {
+	// Ratio is the repeats for each request, Slack those for none, in each Window.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Budget keeps this entry's share of the fleet's repeats. The zero value needs an
+// Allowance and allows nothing without one.
+type Budget struct {
+	mu        sync.Mutex
+	allowance Allowance
+	entries   int
+	services  map[string]*spending
+}
+
+// spending counts requests and repeats in the parts of the window.
+type spending struct {
+	parts [budgetParts]struct {
+		number            int64
+		requests, repeats float64
+	}
+}
+
+// Set takes up the fleet's allowance and the number of entries that share it.
+func (b *Budget) Set(a Allowance, entries int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.allowance = a
+	b.entries = max(entries, 1)
+}
+
+func (b *Budget) part(service string, now time.Time) (s *spending, number int64) {
+	if b.services == nil {
+		b.services = make(map[string]*spending)
+	}
+	s, ok := b.services[service]
+	if !ok {
+		s = &spending{}
+		b.services[service] = s
+	}
+	number = now.UnixNano() / max(int64(b.allowance.Window)/budgetParts, 1)
+	if p := &s.parts[number%budgetParts]; p.number != number {
+		p.number, p.requests, p.repeats = number, 0, 0
+	}
+	return s, number
+}
+
+// Request counts a request for a service.
+func (b *Budget) Request(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, number := b.part(service, now)
+	s.parts[number%budgetParts].requests++
+}
+
+// Repeat takes one repeat out of the budget and reports whether there was one.
+func (b *Budget) Repeat(service string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, number := b.part(service, now)
+	var requests, repeats float64
+	for _, p := range s.parts {
+		if number-p.number < budgetParts {
+			requests += p.requests
+			repeats += p.repeats
+		}
+	}
+	most := budgetUse * (b.allowance.Ratio*requests + b.allowance.Slack/float64(max(b.entries, 1)))
+	if repeats+1 > most {
+		return false
+	}
+	s.parts[number%budgetParts].repeats++
+	return true
+}
--- /dev/null
+++ b/internal/ffoutbound/handler.go
@@ -0,0 +1,141 @@
+package ffoutbound
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/xid"
+	"github.com/rs/zerolog"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+	"fireflyfall.dev/fireflyfall/internal/ffroute"
+)
+
+// Words tells the configuration and the targets in force.
+type Words interface {
+	Table() *ffroute.Table
+	Fleet() fffleet.Fleet
+}
+
+// Gates reaches the gate of each VM.
+type Gates interface {
+	Gate(vm netip.Addr) ffmesh.Gate
+}
+
+const (
+	// startRetry is when a client may come back to an entry that knows no
+	// configuration yet.
+	startRetry = 300 * time.Millisecond
+	// defaultWait is how long a client waits that does not say.
+	defaultWait = 30 * time.Second
+)
+
+// Handler serves the requests that begin on this VM.
+type Handler struct {
+	// Origin returns the service of the target on this VM.
+	Origin  func() string
+	Words   Words
+	Gates   Gates
+	Dialect ffmesh.Dialect
+	Picker  *Picker
+	Budget  *Budget
+	Log     zerolog.Logger
+	Metrics *Metrics
+
+	splitter ffroute.Splitter
+	closing  atomic.Bool
+	open     atomic.Int64
+}
+
+// Close makes every answer from now on the last one of its connection.
+func (h *Handler) Close() { h.closing.Store(true) }
+
+// Open returns the number of requests in work.
+func (h *Handler) Open() int64 { return h.open.Load() }
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.open.Add(1)
+	defer h.open.Add(-1)
+	received := time.Now()
+	table := h.Words.Table()
+	if table == nil {
+		h.refuse(w, r, http.StatusServiceUnavailable, "noConfiguration", startRetry)
+		return
+	}
+	route := table.Match(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		h.refuse(w, r, http.StatusNotFound, "noRoute", 0)
+		return
+	}
+	if r.ContentLength > table.Limits.BodyBytes && table.Limits.BodyBytes > 0 {
+		h.refuse(w, r, http.StatusRequestEntityTooLarge, "bodyTooLong", 0)
+		return
+	}
+	if table.Limits.BodyBytes > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, table.Limits.BodyBytes)
+	}
+	c, err := h.call(r, route, received)
+	if err != nil {
+		h.unread(w, r, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	run := &run{handler: h, call: c, route: route, table: table, tried: make(map[string]bool)}
+	run.do(ctx)
+	if r.Context().Err() != nil {
+		h.Metrics.Done(route.Kind, "clientLeft", time.Since(received))
+		panic(http.ErrAbortHandler)
+	}
+	h.finish(w, run)
+}
+
+// call returns the call of a request, with its body.
+func (h *Handler) call(r *http.Request, route *ffroute.Route, received time.Time) (*ffmesh.Call, error) {
+	id, wait := h.Dialect.Attempt(r.Header)
+	if id == "" {
+		id = xid.New().String()
+	}
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	c := &ffmesh.Call{
+		ID:        id,
+		Method:    r.Method,
+		URI:       r.RequestURI,
+		Host:      r.Host,
+		Header:    ffmesh.EndToEnd(r.Header),
+		Length:    r.ContentLength,
+		Origin:    h.Origin(),
+		Service:   h.splitter.Pick(route),
+		Kind:      route.Kind,
+		Priority:  route.Priority,
+		Received:  received,
+		Deadline:  received.Add(wait),
+		Objective: received.Add(route.Objective),
+	}
+	if limit := received.Add(route.Timeout); route.Timeout > 0 && limit.Before(c.Deadline) {
+		c.Deadline = limit
+	}
+	var err error
+	c.Body, c.Stream, err = ffmesh.ReadBody(r)
+	return c, err
+}
+
+// unread answers a request whose body could not be read.
+func (h *Handler) unread(w http.ResponseWriter, r *http.Request, err error) {
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		h.refuse(w, r, http.StatusRequestEntityTooLarge, "bodyTooLong", 0)
+		return
+	}
+	id, _ := h.Dialect.Attempt(r.Header)
+	h.Log.Info().Str("request", id).Err(err).Msg("body broke off")
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/ffoutbound/picker.go
@@ -0,0 +1,112 @@
+package ffoutbound
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+)
+
+const (
+	// unknownTypical is assumed for a gate that has not told its service time.
+	unknownTypical = 60 * time.Millisecond
+	// Costs of the way to another VM, and of bytes to another data centre.
+	sameCentreCost  = 500 * time.Microsecond
+	otherCentreCost = 6 * time.Millisecond
+	crossByteCost   = 4 * time.Microsecond
+	// failingCost is the cost of a target that fails every call.
+	failingCost = 600 * time.Millisecond
+	// crowding is the part of the service time that a full target costs more.
+	crowding = 0.5
+	// noise is the greatest part by which costs are shuffled, so that entries with
+	// the same facts do not all choose one target.
+	noise = 0.15
+	// avoidedCost is the cost of a VM that is silent or was not reached.
+	avoidedCost = 5 * time.Second
+	// closedCost is the cost of a gate that takes no calls.
+	closedCost = 20 * time.Second
+)
+
+// Place is where this entry stands.
+type Place struct {
+	VM         netip.Addr
+	DataCentre string
+}
+
+// Choice is the target picked for a call and why.
+type Choice struct {
+	Target fffleet.Target
+	Cost   time.Duration
+	// Age is how old the facts are that decided.
+	Age time.Duration
+	// Candidates is the number of targets that were weighed.
+	Candidates int
+}
+
+// Picker chooses targets by the cost of waiting, of the way there and of failing.
+type Picker struct {
+	Place Place
+	Board *Board
+}
+
+// Pick returns the cheapest target of a service that is not in tried.
+func (p *Picker) Pick(fleet fffleet.Fleet, c *ffmesh.Call, tried map[string]bool, now time.Time) (Choice, bool) {
+	var best Choice
+	for _, t := range fleet.Serving(c.Service) {
+		if tried[t.ID] {
+			continue
+		}
+		best.Candidates++
+		f := p.Board.get(t.VM())
+		cost := p.cost(t, &f, c, now)
+		if best.Candidates == 1 || cost < best.Cost {
+			best.Target, best.Cost, best.Age = t, cost, now.Sub(f.learned)
+		}
+	}
+	return best, best.Candidates > 0
+}
+
+// cost returns what a call to t likely costs in time.
+func (p *Picker) cost(t fffleet.Target, f *fact, c *ffmesh.Call, now time.Time) time.Duration {
+	typical, slots := f.load.Typical, max(t.Slots, 1)
+	if typical == 0 || f.load.Target != t.ID {
+		typical = unknownTypical
+	}
+	outstanding := f.load.Running + f.load.Queued + f.since
+	wait := time.Duration(max(outstanding+1-slots, 0)) * typical / time.Duration(slots)
+	used := min(float64(outstanding)/float64(slots), 1)
+	cost := wait + typical + time.Duration(crowding*used*used*float64(typical))
+	cost += time.Duration(f.load.Failing * float64(failingCost))
+	cost = time.Duration(float64(cost) * (1 + noise*rand.Float64()))
+	return cost + p.way(t, c) + p.avoidance(t, f, now)
+}
+
+// way returns the cost of the way to t.
+func (p *Picker) way(t fffleet.Target, c *ffmesh.Call) time.Duration {
+	switch {
+	case t.VM() == p.Place.VM:
+		return 0
+	case t.DataCentre == p.Place.DataCentre:
+		return sameCentreCost
+	}
+	return otherCentreCost + time.Duration(max(len(c.Body), int(c.Length)))*crossByteCost
+}
+
+// avoidance returns the cost of a gate that likely takes no call.
+func (p *Picker) avoidance(t fffleet.Target, f *fact, now time.Time) time.Duration {
+	var cost time.Duration
+	if t.VM() != p.Place.VM {
+		if now.Before(f.down) || !f.heard.IsZero() && now.Sub(f.heard) > silentAfter {
+			cost += avoidedCost
+		}
+		if f.leaving {
+			cost += closedCost
+		}
+	}
+	if f.load.Closed && f.load.Target == t.ID {
+		cost += closedCost
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/ffroute/table.go
@@ -0,0 +1,55 @@
+package ffroute
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is one version of all routes. It is immutable once indexed.
+type Table struct {
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+
+	hosts map[string][]*Route
+}
+
+// Index prepares a decoded table for Match and returns it.
+func (t *Table) Index() *Table {
+	t.hosts = make(map[string][]*Route)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Match returns the route of host with the longest prefix of path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service of a name; the zero value when there is none.
+func (t *Table) Service(name string) Service {
+	for _, s := range t.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	return Service{}
+}
