Mesh: a gate asks for a call's body, stops close the callers' port, queued calls are refused in time

Cause of 502 and 504 that reached no target: a call sent into a cut or a frozen VM could not be told from one that ran. Expect: 100-continue between entry and gate makes a silent VM provably not run, and a gate gives a queued call up while the entry can still say so.

--- a/internal/ffhop/error.go
+++ b/internal/ffhop/error.go
@@ -12,6 +12,7 @@
 	KindUnknown Kind = iota // unknown
 	KindDial                // dial
 	KindUnsent              // unsent
+	KindUnacked             // unacknowledged
 	KindBroken              // broken
 )
 
--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +17,9 @@
 	streamPart = 16 << 10
 )
 
+// lastChunk ends a body of unknown length.
+const lastChunk = "0\r\n\r\n"
+
 // Request is one request as it goes out.
 type Request struct {
 	Method string
@@ -26,6 +30,10 @@
 	// Stream takes the place of Body when it is set; Length is its length or -1.
 	Stream io.Reader
 	Length int64
+	// Consent is how long the peer may take to ask for the body. When it is set,
+	// no byte of the body goes out before, so that a peer that has not asked has
+	// nothing to run.
+	Consent time.Duration
 }
 
 // Exchange is one request under way on a connection.
@@ -36,31 +44,82 @@
 	method  string
 	written chan error
 	wrote   bool
+	// early is a final answer that came in place of the consent.
+	early *http.Response
 }
 
 // Start sends a request. A long body goes out while the answer is awaited. After
-// an error nothing of the request was sent when its kind is KindUnsent; the
-// connection is closed.
+// an error of KindUnsent or KindUnacked the peer has not got the whole request
+// and never will; the connection is closed.
 func (c *Conn) Start(ctx context.Context, r *Request) (*Exchange, error) {
 	e := &Exchange{conn: c, ctx: ctx, method: r.Method, release: c.bind(ctx)}
+	if r.Consent > 0 {
+		return e.startAfterConsent(r)
+	}
 	head := r.head()
-	if r.Stream == nil && len(r.Body) <= joinedBody {
+	joined := r.Stream == nil && len(r.Body) <= joinedBody
+	if joined {
 		head.Write(r.Body)
-		n, err := c.net.Write(head.Bytes())
-		e.wrote = n > 0
-		if err != nil {
-			return nil, e.fail("send", err)
-		}
-		return e, nil
 	}
 	n, err := c.net.Write(head.Bytes())
 	e.wrote = n > 0
 	if err != nil {
 		return nil, e.fail("send", err)
 	}
+	if !joined {
+		e.sendBody(r)
+	}
+	return e, nil
+}
+
+// startAfterConsent sends the head, waits until the peer asks for the body, and
+// sends that. A body of no bytes goes out as its last chunk alone.
+func (e *Exchange) startAfterConsent(r *Request) (*Exchange, error) {
+	if _, err := e.conn.net.Write(r.head().Bytes()); err != nil {
+		return nil, e.fail("send", err)
+	}
+	_ = e.conn.net.SetReadDeadline(time.Now().Add(r.Consent))
+	resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
+	if err != nil {
+		return nil, e.unacked(err)
+	}
+	_ = e.conn.net.SetReadDeadline(time.Time{})
+	if err := e.ctx.Err(); err != nil {
+		return nil, e.unacked(err)
+	}
+	if resp.StatusCode != http.StatusContinue {
+		e.early = resp
+		return e, nil
+	}
+	e.wrote = true
+	if r.Stream == nil && len(r.Body) <= joinedBody {
+		body := r.Body
+		if len(body) == 0 {
+			body = []byte(lastChunk)
+		}
+		if _, err := e.conn.net.Write(body); err != nil {
+			return nil, e.fail("send", err)
+		}
+		return e, nil
+	}
+	e.sendBody(r)
+	return e, nil
+}
+
+// unacked ends an exchange whose peer did not ask for the body. The reset makes
+// sure that what is still on its way is dropped.
+func (e *Exchange) unacked(err error) error {
+	if tcp, ok := e.conn.net.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	failed := e.fail("await consent", err).(*Error)
+	failed.Kind = KindUnacked
+	return failed
+}
+
+func (e *Exchange) sendBody(r *Request) {
 	e.written = make(chan error, 1)
 	go e.runBody(r)
-	return e, nil
 }
 
 // runBody sends the body of a request.
@@ -107,7 +166,7 @@
 			}
 		}
 		if err == io.EOF {
-			_, err = io.WriteString(w, "0\r\n\r\n")
+			_, err = io.WriteString(w, lastChunk)
 			return err
 		}
 		if err != nil {
@@ -131,6 +190,9 @@
 
 // Receive reads the head of the next answer. After an error the connection is closed.
 func (e *Exchange) Receive() (*http.Response, error) {
+	if e.early != nil {
+		return e.early, nil
+	}
 	for {
 		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
 		if err != nil {
@@ -151,7 +213,7 @@
 // Finish ends an exchange whose answer was read whole. It returns the connection
 // if that can carry another exchange, and closes it otherwise.
 func (e *Exchange) Finish(resp *http.Response) *Conn {
-	if e.release() && !resp.Close && e.conn.reader.Buffered() == 0 && e.bodySent() {
+	if e.release() && e.early == nil && !resp.Close && e.conn.reader.Buffered() == 0 && e.bodySent() {
 		return e.conn
 	}
 	e.conn.Close()
@@ -192,8 +254,11 @@
 	b.Grow(joinedBody / 16)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.WriteSubset(&b, nil)
+	if r.Consent > 0 {
+		b.WriteString("Expect: 100-continue\r\n")
+	}
 	switch {
-	case r.Stream != nil && r.Length < 0:
+	case r.Stream != nil && r.Length < 0, r.Consent > 0 && r.Stream == nil && len(r.Body) == 0:
 		b.WriteString("Transfer-Encoding: chunked\r\n")
 	case r.Stream != nil:
 		b.WriteString("Content-Length: " + strconv.FormatInt(r.Length, 10) + "\r\n")
--- a/internal/ffhop/kind_string.go
+++ b/internal/ffhop/kind_string.go
@@ -11,12 +11,13 @@
 	_ = x[KindUnknown-0]
 	_ = x[KindDial-1]
 	_ = x[KindUnsent-2]
-	_ = x[KindBroken-3]
+	_ = x[KindUnacked-3]
+	_ = x[KindBroken-4]
 }
 
-const _Kind_name = "unknowndialunsentbroken"
+const _Kind_name = "unknowndialunsentunacknowledgedbroken"
 
-var _Kind_index = [...]uint8{0, 7, 11, 17, 23}
+var _Kind_index = [...]uint8{0, 7, 11, 17, 31, 37}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -67,6 +67,21 @@
 	return r
 }
 
+// Refusal returns why a call would be refused now, or nil.
+func (g *Gate) Refusal(c *ffmesh.Call) *ffmesh.Reply {
+	if _, refusal := g.admit(c); refusal != nil {
+		return g.seal(refusal)
+	}
+	g.mu.Lock()
+	now := time.Now()
+	refusal := g.busy(g.waiter(c), now)
+	g.mu.Unlock()
+	if refusal == nil {
+		return nil
+	}
+	return g.seal(refusal)
+}
+
 func refuse(reason ffmesh.Reason, in time.Duration) *ffmesh.Reply {
 	return &ffmesh.Reply{Outcome: ffmesh.OutcomeNotRun, Reason: reason, RetryIn: in}
 }
@@ -109,20 +124,32 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	w := &waiter{
+	w := g.waiter(c)
+	if refusal := g.busy(w, now); refusal != nil {
+		return nil, refusal
+	}
+	g.queue.push(w)
+	g.dispatch(now)
+	return w, nil
+}
+
+func (g *Gate) waiter(c *ffmesh.Call) *waiter {
+	return &waiter{
 		priority:  c.Priority,
 		objective: c.Objective,
 		deadline:  c.Deadline,
 		expected:  g.times.expected(c.Priority),
 		granted:   make(chan bool, 1),
 	}
+}
+
+// busy refuses a call whose turn would come too late. The caller holds the lock.
+func (g *Gate) busy(w *waiter, now time.Time) *ffmesh.Reply {
 	delay := g.delay(w, now)
 	if w.hopeless(now.Add(delay)) {
-		return nil, refuse(ffmesh.ReasonBusy, delay)
+		return refuse(ffmesh.ReasonBusy, delay)
 	}
-	g.queue.push(w)
-	g.dispatch(now)
-	return w, nil
+	return nil
 }
 
 // delay estimates how long w waits for a slot. The caller holds the lock.
@@ -158,22 +185,34 @@
 	}
 }
 
-// wait blocks until the call has a slot, or returns its refusal.
+// wait blocks until the call has a slot, or returns its refusal. It gives up
+// early enough that the entry can still tell the client.
 func (g *Gate) wait(ctx context.Context, w *waiter) *ffmesh.Reply {
+	hopeless := time.NewTimer(time.Until(w.deadline.Add(-w.expected / 2)))
+	defer hopeless.Stop()
 	select {
 	case ok := <-w.granted:
 		return g.late(ok)
+	case <-hopeless.C:
+		if g.withdraw(w) {
+			return g.late(false)
+		}
+		return g.late(<-w.granted)
 	case <-ctx.Done():
 	}
-	g.mu.Lock()
-	waited := g.queue.remove(w)
-	g.mu.Unlock()
-	if !waited && <-w.granted {
+	if !g.withdraw(w) && <-w.granted {
 		g.release(w)
 	}
 	return refuse(ffmesh.ReasonCanceled, 0)
 }
 
+// withdraw takes a call out of the queue and reports whether it still waited.
+func (g *Gate) withdraw(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.remove(w)
+}
+
 func (g *Gate) late(granted bool) *ffmesh.Reply {
 	if granted {
 		return nil
--- a/internal/ffmesh/enum_string.go
+++ b/internal/ffmesh/enum_string.go
@@ -40,10 +40,10 @@
 	_ = x[ReasonSpoiled-9]
 	_ = x[ReasonCanceled-10]
 	_ = x[ReasonLeaving-11]
-	_ = x[ReasonUnread-12]
+	_ = x[ReasonSilent-12]
 }
 
-const _Reason_name = "nonebusydeadlinedrainingnoTargetshedmisdirectedconnectbrokenspoiledcanceledleavingunread"
+const _Reason_name = "nonebusydeadlinedrainingnoTargetshedmisdirectedconnectbrokenspoiledcanceledleavingsilent"
 
 var _Reason_index = [...]uint8{0, 4, 8, 16, 24, 32, 36, 47, 54, 60, 67, 75, 82, 88}
 
--- a/internal/ffmesh/reply.go
+++ b/internal/ffmesh/reply.go
@@ -36,7 +36,7 @@
 	ReasonSpoiled                 // spoiled
 	ReasonCanceled                // canceled
 	ReasonLeaving                 // leaving
-	ReasonUnread                  // unread
+	ReasonSilent                  // silent
 )
 
 // Reply is what became of a call.
--- a/internal/ffmeshpeer/client.go
+++ b/internal/ffmeshpeer/client.go
@@ -19,6 +19,9 @@
 const (
 	// dialTimeout bounds a connection to another daemon.
 	dialTimeout = 250 * time.Millisecond
+	// consentTimeout is how long a gate may take to ask for a call's body. A VM
+	// that is frozen, cut off or overrun does not ask in time.
+	consentTimeout = 150 * time.Millisecond
 	// idleKept is how long an idle connection to another daemon is kept; the
 	// daemon's server closes it later than that.
 	idleKept = 20 * time.Second
@@ -90,7 +93,7 @@
 	header.Set(callHeader, head)
 	e, err := conn.Start(ctx, &ffhop.Request{
 		Method: c.Method, URI: c.URI, Host: c.Host, Header: header,
-		Body: c.Body, Stream: c.Stream, Length: c.Length,
+		Body: c.Body, Stream: c.Stream, Length: c.Length, Consent: consentTimeout,
 	})
 	if err != nil {
 		return r.broken(ctx, c, pool, err)
@@ -109,8 +112,8 @@
 		pool.Clear()
 	}
 	var failed *ffhop.Error
-	if errors.As(err, &failed) && failed.Kind == ffhop.KindUnsent {
-		return r.failed(ctx, c, ffmesh.OutcomeNotRun, ffmesh.ReasonBroken, err)
+	if errors.As(err, &failed) && failed.Kind != ffhop.KindBroken {
+		return r.failed(ctx, c, ffmesh.OutcomeNotRun, ffmesh.ReasonSilent, err)
 	}
 	return r.failed(ctx, c, ffmesh.OutcomeUnknown, ffmesh.ReasonBroken, err)
 }
--- a/internal/ffmeshpeer/server.go
+++ b/internal/ffmeshpeer/server.go
@@ -13,9 +13,17 @@
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 )
 
-// Handler serves the calls of other daemons at this VM's gate.
+// Gate is the gate of this VM.
+type Gate interface {
+	ffmesh.Gate
+	// Refusal returns why a call would be refused now, or nil.
+	Refusal(c *ffmesh.Call) *ffmesh.Reply
+}
+
+// Handler serves the calls of other daemons at this VM's gate. A call's body is
+// asked for only when the call is not refused at once.
 type Handler struct {
-	Gate ffmesh.Gate
+	Gate Gate
 	Log  zerolog.Logger
 }
 
@@ -31,12 +39,19 @@
 	c.Method, c.URI, c.Host = r.Method, r.RequestURI, r.Host
 	c.Header = ffmesh.EndToEnd(r.Header)
 	c.Header.Del(callHeader)
+	if refusal := h.Gate.Refusal(c); refusal != nil {
+		h.write(w, c, refusal)
+		return
+	}
 	body, stream, err := ffmesh.ReadBody(r)
 	if err != nil {
 		h.Log.Warn().Err(err).Str("request", c.ID).Msg("body of a call broke off")
 		panic(http.ErrAbortHandler)
 	}
 	c.Body, c.Stream, c.Length = body, stream, r.ContentLength
+	if stream == nil {
+		c.Length = int64(len(body))
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	h.write(w, c, h.Gate.Do(ctx, c))
--- a/internal/ffnode/leave.go
+++ b/internal/ffnode/leave.go
@@ -39,7 +39,7 @@
 		}
 		if !closed && (elapsed > latestClose || elapsed > unreadyFor && now.Sub(busy) > quietFor) {
 			closed = true
-			sv.clients.closeIdle(now)
+			sv.stopTaking()
 		}
 		if closed && now.Sub(busy) > quietFor {
 			break
--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -133,6 +133,14 @@
 	return s
 }
 
+// stopTaking closes the port of the clients and their idle connections; requests
+// in work go on.
+func (sv *servers) stopTaking() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = sv.callers.Shutdown(ctx)
+}
+
 func (sv *servers) close() {
 	for _, s := range sv.all {
 		_ = s.Close()
--- a/internal/ffoutbound/board.go
+++ b/internal/ffoutbound/board.go
@@ -12,7 +12,7 @@
 	// silentAfter is how long a VM may send no heartbeat before it is avoided.
 	silentAfter = 900 * time.Millisecond
 	// downFor is how long a VM is avoided that refused a connection.
-	downFor = 1500 * time.Millisecond
+	downFor = time.Second
 )
 
 // fact is what the entry knows of the gate on one VM.
@@ -54,7 +54,6 @@
 	f.load, f.leaving = load, leaving
 	f.heard, f.learned = now, now
 	f.since = 0
-	f.down = time.Time{}
 }
 
 // learn takes up the load that came with a reply.
@@ -63,6 +62,7 @@
 	defer b.mu.Unlock()
 	f := b.of(vm)
 	f.load, f.learned = load, now
+	f.down = time.Time{}
 	f.since = 0
 }
 
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -39,6 +39,8 @@
 type Choice struct {
 	Target fffleet.Target
 	Cost   time.Duration
+	// Wait is the part of the cost that is waiting for a slot.
+	Wait time.Duration
 	// Age is how old the facts are that decided.
 	Age time.Duration
 	// Candidates is the number of targets that were weighed.
@@ -60,27 +62,27 @@
 		}
 		best.Candidates++
 		f := p.Board.get(t.VM())
-		cost := p.cost(t, &f, c, now)
+		cost, wait := p.cost(t, &f, c, now)
 		if best.Candidates == 1 || cost < best.Cost {
-			best.Target, best.Cost, best.Age = t, cost, now.Sub(f.learned)
+			best.Target, best.Cost, best.Wait, best.Age = t, cost, wait, now.Sub(f.learned)
 		}
 	}
 	return best, best.Candidates > 0
 }
 
-// cost returns what a call to t likely costs in time.
-func (p *Picker) cost(t fffleet.Target, f *fact, c *ffmesh.Call, now time.Time) time.Duration {
+// cost returns what a call to t likely costs in time, and how much of it is waiting.
+func (p *Picker) cost(t fffleet.Target, f *fact, c *ffmesh.Call, now time.Time) (cost, wait time.Duration) {
 	typical, slots := f.load.Typical, max(t.Slots, 1)
 	if typical == 0 || f.load.Target != t.ID {
 		typical = unknownTypical
 	}
 	outstanding := f.load.Running + f.load.Queued + f.since
-	wait := time.Duration(max(outstanding+1-slots, 0)) * typical / time.Duration(slots)
+	wait = time.Duration(max(outstanding+1-slots, 0)) * typical / time.Duration(slots)
 	used := min(float64(outstanding)/float64(slots), 1)
-	cost := wait + typical + time.Duration(crowding*used*used*float64(typical))
+	cost = wait + typical + time.Duration(crowding*used*used*float64(typical))
 	cost += time.Duration(f.load.Failing * float64(failingCost))
 	cost = time.Duration(float64(cost) * (1 + noise*rand.Float64()))
-	return cost + p.way(t, c) + p.avoidance(t, f, now)
+	return cost + p.way(t, c) + p.avoidance(t, f, now), wait
 }
 
 // way returns the cost of the way to t.
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -48,7 +48,7 @@
 	now := time.Now()
 	h := r.handler
 	choice, ok := h.Picker.Pick(h.Words.Fleet(), r.call, r.tried, now)
-	if !ok || choice.Cost > closedCost && r.offers > 0 {
+	if !ok || r.offers > 0 && (choice.Cost > closedCost || now.Add(choice.Wait).After(r.call.Deadline)) {
 		return false
 	}
 	r.choice = choice
@@ -68,7 +68,7 @@
 	if r.reply.Load.Target != "" {
 		h.Picker.Board.learn(t.VM(), r.reply.Load, now)
 	}
-	if r.reply.Reason == ffmesh.ReasonConnect || r.reply.Reason == ffmesh.ReasonBroken {
+	if r.reply.Load.Target == "" && ctx.Err() == nil {
 		h.Picker.Board.fail(t.VM(), now)
 	}
 	r.account()
