--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -146,7 +146,7 @@
 // busy refuses a call whose turn would come too late. The caller holds the lock.
 func (g *Gate) busy(w *waiter, now time.Time) *ffmesh.Reply {
 	delay := g.delay(w, now)
-	if w.hopeless(now.Add(delay)) {
+	if w.hopeless(now.Add(delay)) || delay > 0 && w.late(now.Add(delay)) {
 		return refuse(ffmesh.ReasonBusy, delay)
 	}
 	return nil
@@ -158,11 +158,7 @@
 	if g.running < g.slots && len(g.queue.waiting) == 0 {
 		return 0
 	}
-	var left time.Duration
-	for _, end := range g.due {
-		left += max(end.Sub(now), g.times.typical()/4)
-	}
-	return (ahead + left) / time.Duration(g.slots)
+	return (ahead + g.times.typical()) / time.Duration(g.slots)
 }
 
 // dispatch gives free slots away. The caller holds the lock.
@@ -188,12 +184,12 @@
 // wait blocks until the call has a slot, or returns its refusal. It gives up
 // early enough that the entry can still tell the client.
 func (g *Gate) wait(ctx context.Context, w *waiter) *ffmesh.Reply {
-	hopeless := time.NewTimer(time.Until(w.deadline.Add(-w.expected / 2)))
-	defer hopeless.Stop()
+	patience := time.NewTimer(time.Until(w.latest()))
+	defer patience.Stop()
 	select {
 	case ok := <-w.granted:
 		return g.late(ok)
-	case <-hopeless.C:
+	case <-patience.C:
 		if g.withdraw(w) {
 			return g.late(false)
 		}
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -48,6 +48,7 @@
 	Metrics *Metrics
 
 	splitter ffroute.Splitter
+	waits    waits
 	closing  atomic.Bool
 	open     atomic.Int64
 }
@@ -118,7 +119,7 @@
 		Priority:  route.Priority,
 		Received:  received,
 		Deadline:  received.Add(wait),
-		Objective: received.Add(route.Objective),
+		Objective: received.Add(route.Objective - h.waits.spent(route.Name, wait)),
 	}
 	if limit := received.Add(route.Timeout); route.Timeout > 0 && limit.Before(c.Deadline) {
 		c.Deadline = limit
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -48,7 +48,7 @@
 	now := time.Now()
 	h := r.handler
 	choice, ok := h.Picker.Pick(h.Words.Fleet(), r.call, r.tried, now)
-	if !ok || r.offers > 0 && (choice.Cost > closedCost || now.Add(choice.Wait).After(r.call.Deadline)) {
+	if !ok || r.offers > 0 && (choice.Cost > closedCost || now.Add(choice.Wait).After(r.call.Objective)) {
 		return false
 	}
 	r.choice = choice
