--- a/internal/ffcommand/mesh.go
+++ b/internal/ffcommand/mesh.go
@@ -52,7 +52,7 @@
 	}
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory)))
-	out := diode.NewWriter(stdout, logLines, logPoll, func(missed int) {
+	out := diode.NewWriter(stdout, logLines, logPoll, func(int) {
 		_, _ = io.WriteString(os.Stderr, `{"level":"warn","message":"log lines dropped"}`+"\n")
 	})
 	defer func() { _ = out.Close() }()
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -146,12 +146,16 @@
 // busy refuses a call whose turn would come too late. The caller holds the lock.
 func (g *Gate) busy(w *waiter, now time.Time) *ffmesh.Reply {
 	delay := g.delay(w, now)
-	if w.hopeless(now.Add(delay)) || delay > 0 && w.late(now.Add(delay)) {
+	if w.hopeless(now.Add(delay)) || w.late(now.Add(delay)) && g.crowded() {
 		return refuse(ffmesh.ReasonBusy, delay)
 	}
 	return nil
 }
 
+// crowded reports whether so many calls wait that those which miss their objective
+// would only keep others from theirs. The caller holds the lock.
+func (g *Gate) crowded() bool { return 2*len(g.queue.waiting) >= g.slots }
+
 // delay estimates how long w waits for a slot. The caller holds the lock.
 func (g *Gate) delay(w *waiter, now time.Time) time.Duration {
 	ahead := g.queue.ahead(w, now)
@@ -184,28 +188,41 @@
 // wait blocks until the call has a slot, or returns its refusal. It gives up
 // early enough that the entry can still tell the client.
 func (g *Gate) wait(ctx context.Context, w *waiter) *ffmesh.Reply {
-	patience := time.NewTimer(time.Until(w.latest()))
+	patience := time.NewTimer(time.Until(w.objective.Add(-w.expected / 2)))
 	defer patience.Stop()
-	select {
-	case ok := <-w.granted:
-		return g.late(ok)
-	case <-patience.C:
-		if g.withdraw(w) {
-			return g.late(false)
+	last := time.NewTimer(time.Until(w.deadline.Add(-w.expected / 2)))
+	defer last.Stop()
+	for waiting := true; waiting; {
+		select {
+		case ok := <-w.granted:
+			return g.late(ok)
+		case <-patience.C:
+			if g.giveUp(w, true) {
+				return g.late(false)
+			}
+		case <-last.C:
+			if g.giveUp(w, false) {
+				return g.late(false)
+			}
+			return g.late(<-w.granted)
+		case <-ctx.Done():
+			waiting = false
 		}
-		return g.late(<-w.granted)
-	case <-ctx.Done():
 	}
-	if !g.withdraw(w) && <-w.granted {
+	if !g.giveUp(w, false) && <-w.granted {
 		g.release(w)
 	}
 	return refuse(ffmesh.ReasonCanceled, 0)
 }
 
-// withdraw takes a call out of the queue and reports whether it still waited.
-func (g *Gate) withdraw(w *waiter) bool {
+// giveUp takes a call out of the queue, if need be only out of a crowded one, and
+// reports whether it did.
+func (g *Gate) giveUp(w *waiter, ifCrowded bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if ifCrowded && !g.crowded() {
+		return false
+	}
 	return g.queue.remove(w)
 }
 
--- a/internal/ffinbound/queue.go
+++ b/internal/ffinbound/queue.go
@@ -22,15 +22,6 @@
 // hopeless reports whether an answer that starts now misses the deadline.
 func (w *waiter) hopeless(now time.Time) bool { return now.Add(w.expected / 2).After(w.deadline) }
 
-// latest returns when a call that still waits is given up: it can hardly meet its
-// objective any more, and a client that is told so early can ask elsewhere.
-func (w *waiter) latest() time.Time {
-	if w.objective.Before(w.deadline) {
-		return w.objective.Add(-w.expected / 2)
-	}
-	return w.deadline.Add(-w.expected / 2)
-}
-
 // queue holds the waiting calls, the next one first.
 type queue struct{ waiting []*waiter }
 
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -25,6 +25,8 @@
 	reply    *ffmesh.Reply
 	// answer is a target's own failure, kept in case that no repeat does better.
 	answer *ffmesh.Reply
+	// hedged tells that a second target was asked beside a slow first one.
+	hedged bool
 	// maybe tells that the request may have run although no answer came.
 	maybe   bool
 	retryIn time.Duration
@@ -60,16 +62,10 @@
 func (r *run) send(ctx context.Context) {
 	h, t := r.handler, r.choice.Target
 	r.offers++
-	r.call.Target = t.ID
-	h.Picker.Board.begin(t.VM())
-	r.reply = h.Gates.Gate(t.VM()).Do(ctx, r.call)
-	h.Picker.Board.end(t.VM())
-	now := time.Now()
-	if r.reply.Load.Target != "" {
-		h.Picker.Board.learn(t.VM(), r.reply.Load, now)
-	}
-	if r.reply.Load.Target == "" && ctx.Err() == nil {
-		h.Picker.Board.fail(t.VM(), now)
+	if r.route.Kind.Idempotent() && r.call.Stream == nil {
+		r.reply = r.race(ctx, t)
+	} else {
+		r.reply = h.offer(ctx, t, r.call)
 	}
 	r.account()
 }
