--- a/internal/ffcaller/handler.go
+++ b/internal/ffcaller/handler.go
@@ -19,6 +19,10 @@
 	// unreadTimeout bounds the wait for the rest of a request that is refused before
 	// its body was read; the connection lives on when the rest comes by then.
 	unreadTimeout = 200 * time.Millisecond
+	// quietTime is how long no request may have been in work, in quietLooks looks,
+	// before the daemon may end.
+	quietTime  = 200 * time.Millisecond
+	quietLooks = 20
 	// minStatus and maxStatus bound the statuses that a target may answer with.
 	minStatus = 200
 	maxStatus = 999
@@ -42,6 +46,7 @@
 	memory      bodyMemory
 	connections connections
 	leaving     atomic.Bool
+	open        atomic.Int64
 }
 
 // NewHandler returns a handler over an entry.
@@ -53,8 +58,26 @@
 // caller keeps one on which it may send when the daemon stops.
 func (h *Handler) Leave() { h.leaving.Store(true) }
 
+// Wait returns when no request has been in work for a short time, or when ctx ends.
+func (h *Handler) Wait(ctx context.Context) {
+	ticker := time.NewTicker(quietTime / quietLooks)
+	defer ticker.Stop()
+	for looks := 0; looks < quietLooks; looks++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if h.open.Load() > 0 {
+			looks = 0
+		}
+	}
+}
+
 // ServeHTTP takes one request to its answer.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.open.Add(1)
+	defer h.open.Add(-1)
 	start := time.Now()
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/ffdaemon/daemon.go
+++ b/internal/ffdaemon/daemon.go
@@ -99,7 +99,7 @@
 		defer stop()
 		select {
 		case <-ctx.Done():
-			return d.leave(callers, operators)
+			return d.leave(listeners.caller, callers, operators)
 		case <-serving.Done():
 			return errors.Join(callers.Close(), operators.Close())
 		}
@@ -136,10 +136,11 @@
 }
 
 func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // runFleet tells the limits of each change of the fleet.
@@ -165,8 +166,9 @@
 }
 
 // leave announces that the VM takes no new work, finishes what is in flight and
-// closes the ports.
-func (d *Daemon) leave(callers, operators *http.Server) error {
+// closes the ports. The callers' port is closed before their server, which would
+// drop a request that it has just read if it were shut down.
+func (d *Daemon) leave(port net.Listener, callers, operators *http.Server) error {
 	deadline := time.Now().Add(d.Settings.DrainTimeout)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -176,7 +178,9 @@
 	d.Node.Leave(ctx)
 	drained := d.Gate.Drain(ctx)
 	wait(ctx, leaveGrace)
-	stopped := callers.Shutdown(ctx)
+	_ = port.Close()
+	d.Callers.Wait(ctx)
+	stopped := callers.Close()
 	d.Trail.Record(ffaudit.Event{Kind: ffaudit.KindDrainFinished, Subject: d.Settings.Name})
 	last, done := context.WithTimeout(context.Background(), goneTimeout)
 	defer done()
--- /dev/null
+++ b/internal/fffleet/fleet_test.go
@@ -0,0 +1,59 @@
+package fffleet_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+)
+
+func target(id string, born, sequence int64, state fffleet.State) fffleet.Target {
+	return fffleet.Target{
+		ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:1"), DataCentre: "z",
+		Slots: 2, State: state, Born: born, Sequence: sequence,
+	}
+}
+
+func change(t fffleet.Target) []fffleet.Change { return []fffleet.Change{{ID: t.ID, Target: &t}} }
+
+// TestOlderWord ignores a word of an earlier life or heartbeat of a target.
+func TestOlderWord(t *testing.T) {
+	f := fffleet.New([]fffleet.Target{target("a", 5, 7, fffleet.StateDraining)})
+	for name, tc := range map[string]struct {
+		word fffleet.Target
+		want fffleet.State
+	}{
+		"earlier life":      {target("a", 4, 99, fffleet.StateReady), fffleet.StateDraining},
+		"earlier heartbeat": {target("a", 5, 6, fffleet.StateReady), fffleet.StateDraining},
+		"later heartbeat":   {target("a", 5, 8, fffleet.StateReady), fffleet.StateReady},
+		"later life":        {target("a", 6, 1, fffleet.StateReady), fffleet.StateReady},
+		"no start told":     {target("a", 0, 1, fffleet.StateReady), fffleet.StateReady},
+	} {
+		got, _ := f.With(change(tc.word)).Get("a")
+		if got.State != tc.want {
+			t.Errorf("%s: %v", name, got.State)
+		}
+	}
+}
+
+// TestDigest changes with the content and not with heartbeats.
+func TestDigest(t *testing.T) {
+	f := fffleet.New([]fffleet.Target{target("a", 5, 7, fffleet.StateReady)})
+	if f.With(change(target("a", 5, 8, fffleet.StateReady))).Digest() != f.Digest() {
+		t.Error("a heartbeat changed the digest")
+	}
+	if f.With(change(target("a", 5, 8, fffleet.StateDraining))).Digest() == f.Digest() {
+		t.Error("a new state did not change the digest")
+	}
+	if f.With([]fffleet.Change{{ID: "a"}}).Len() != 0 {
+		t.Error("a removed target stayed")
+	}
+}
+
+// TestAt finds the latest life at an address.
+func TestAt(t *testing.T) {
+	f := fffleet.New([]fffleet.Target{target("old", 5, 9, fffleet.StateReady), target("new", 6, 1, fffleet.StateReady)})
+	if got, ok := f.At(netip.MustParseAddrPort("10.0.0.1:1")); !ok || got.ID != "new" {
+		t.Errorf("got %v", got.ID)
+	}
+}
--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -57,8 +57,9 @@
 
 // servers are the HTTP servers of a daemon.
 type servers struct {
-	all     []*http.Server
-	callers *http.Server
+	all []*http.Server
+	// port is the listener of the clients, and clients their connections.
+	port    net.Listener
 	clients connections
 }
 
@@ -84,6 +85,9 @@
 		if err != nil {
 			return &Error{Op: "listen", Kind: KindListen, Err: err}
 		}
+		if one.address == s.Callers {
+			sv.port = l
+		}
 		group.Go(func() error { return serve(one.server, l) })
 	}
 	group.Go(func() error { return n.Gossip.Run(serving) })
@@ -122,9 +126,9 @@
 
 // caller returns the server of the clients.
 func (sv *servers) caller(h http.Handler) *http.Server {
-	sv.callers = &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, ConnState: sv.clients.state}
-	sv.all = append(sv.all, sv.callers)
-	return sv.callers
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, ConnState: sv.clients.state}
+	sv.all = append(sv.all, s)
+	return s
 }
 
 func (sv *servers) plain(h http.Handler) *http.Server {
@@ -133,12 +137,12 @@
 	return s
 }
 
-// stopTaking closes the port of the clients and their idle connections; requests
-// in work go on.
+// stopTaking closes the port of the clients and their idle connections. What was
+// accepted before is still served: http.Server.Shutdown would drop a request that
+// it has just read.
 func (sv *servers) stopTaking() {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = sv.callers.Shutdown(ctx)
+	_ = sv.port.Close()
+	sv.clients.closeIdle(time.Now())
 }
 
 func (sv *servers) close() {
@@ -148,10 +152,11 @@
 }
 
 func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // changed takes up new content of the word.
--- /dev/null
+++ b/internal/ffoutbound/decision_test.go
@@ -0,0 +1,108 @@
+package ffoutbound_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
+)
+
+// TestBudget keeps the repeats of all entries together within the fleet's allowance
+// over every window.
+func TestBudget(t *testing.T) {
+	const entries, ratio, slack = 4, 0.2, 40
+	var all [entries]ffoutbound.Budget
+	var repeats, requests []time.Time
+	start := time.Unix(1000, 0)
+	for i := range all {
+		all[i].Set(ffoutbound.Allowance{Ratio: ratio, Slack: slack, Window: 10 * time.Second}, entries)
+	}
+	for tick := range 3000 {
+		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+		for i := range all {
+			if tick%10 == 0 {
+				all[i].Request("s", now)
+				requests = append(requests, now)
+			}
+			if all[i].Repeat("s", now) {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	count := func(times []time.Time, from time.Time) (n float64) {
+		for _, at := range times {
+			if !at.Before(from) && at.Before(from.Add(10*time.Second)) {
+				n++
+			}
+		}
+		return n
+	}
+	for s := 0; s <= 20; s++ {
+		from := start.Add(time.Duration(s) * time.Second)
+		if got, most := count(repeats, from), ratio*count(requests, from)+slack; got > most {
+			t.Errorf("from second %d: %v repeats, %v allowed", s, got, most)
+		}
+	}
+	if len(repeats) == 0 {
+		t.Error("no repeat was allowed")
+	}
+}
+
+func vm(n byte) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, n}) }
+
+func targets() fffleet.Fleet {
+	var all []fffleet.Target
+	for n := byte(1); n <= 3; n++ {
+		centre := "a"
+		if n == 3 {
+			centre = "b"
+		}
+		all = append(all, fffleet.Target{
+			ID: string('a' + rune(n)), Service: "s", Address: netip.AddrPortFrom(vm(n), 80), DataCentre: centre, Slots: 4,
+		})
+	}
+	return fffleet.New(all)
+}
+
+// TestPick chooses by waiting, the way, failures and what is known to be closed.
+func TestPick(t *testing.T) {
+	const typical = 50 * time.Millisecond
+	idle := func(n byte) ffmesh.Load {
+		return ffmesh.Load{Target: string('a' + rune(n)), Slots: 4, Typical: typical}
+	}
+	for name, tc := range map[string]struct {
+		change func(loads []ffmesh.Load)
+		body   int64
+		want   map[byte]bool
+	}{
+		"free over full":  {func(l []ffmesh.Load) { l[0].Running, l[0].Queued, l[1].Running, l[1].Queued = 4, 6, 4, 6 }, 0, map[byte]bool{3: true}},
+		"long body stays": {func(l []ffmesh.Load) { l[0].Running, l[1].Running = 3, 3 }, 100_000, map[byte]bool{1: true, 2: true}},
+		"failing avoided": {func(l []ffmesh.Load) { l[0].Failing, l[1].Failing = 0.9, 0.9 }, 0, map[byte]bool{3: true}},
+		"closed avoided":  {func(l []ffmesh.Load) { l[0].Closed, l[2].Closed = true, true }, 0, map[byte]bool{2: true}},
+		"slow avoided":    {func(l []ffmesh.Load) { l[0].Typical, l[1].Typical = 4*typical, 4*typical }, 0, map[byte]bool{3: true}},
+		"other life is not slow": {func(l []ffmesh.Load) {
+			l[0] = ffmesh.Load{Target: "gone", Typical: time.Millisecond}
+			l[2].Closed = true
+			l[1].Closed = true
+		}, 0, map[byte]bool{1: true}},
+	} {
+		for range 20 {
+			board := &ffoutbound.Board{}
+			loads := []ffmesh.Load{idle(1), idle(2), idle(3)}
+			tc.change(loads)
+			now := time.Now()
+			for i, l := range loads {
+				board.Hear(vm(byte(i+1)), l, false, now)
+			}
+			p := ffoutbound.Picker{Place: ffoutbound.Place{VM: vm(9), DataCentre: "a"}, Board: board}
+			c := &ffmesh.Call{Service: "s", Length: tc.body, Deadline: now.Add(time.Second)}
+			choice, ok := p.Pick(targets(), c, nil, now)
+			if got := choice.Target.VM().As4()[3]; !ok || !tc.want[got] {
+				t.Errorf("%s: picked %d", name, got)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/ffroute/table_test.go
@@ -0,0 +1,53 @@
+package ffroute_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"fireflyfall.dev/fireflyfall/internal/ffroute"
+)
+
+func table() *ffroute.Table {
+	t := &ffroute.Table{Routes: []ffroute.Route{
+		{Name: "ax", Host: "a.example", Prefix: "/x/"},
+		{Name: "axy", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "bx", Host: "b.example", Prefix: "/x/"},
+	}}
+	return t.Index()
+}
+
+// TestMatch checks the cases of testdata/match.txt.
+func TestMatch(t *testing.T) {
+	b, err := os.ReadFile("testdata/match.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tab := table()
+	for line := range strings.Lines(string(b)) {
+		f := strings.Fields(line)
+		if len(f) != 3 || f[0] == "#" {
+			continue
+		}
+		got := "-"
+		if r := tab.Match(f[0], f[1]); r != nil {
+			got = r.Name
+		}
+		if got != f[2] {
+			t.Errorf("%s%s: got %s, want %s", f[0], f[1], got, f[2])
+		}
+	}
+}
+
+// TestSplit keeps the shares of a split close to the weights at every moment.
+func TestSplit(t *testing.T) {
+	var s ffroute.Splitter
+	r := &ffroute.Route{Name: "r", Split: []ffroute.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := make(map[string]int)
+	for i := 1; i <= 1000; i++ {
+		counts[s.Pick(r)]++
+		if off := float64(counts["b"]) - float64(i)*0.1; off > 1 || off < -1 {
+			t.Fatalf("after %d requests b has %d", i, counts["b"])
+		}
+	}
+}
