--- a/internal/ffmesh/enum_string.go
+++ b/internal/ffmesh/enum_string.go
@@ -24,6 +24,7 @@
 	}
 	return _Outcome_name[_Outcome_index[idx]:_Outcome_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -54,6 +55,7 @@
 	}
 	return _Reason_name[_Reason_index[idx]:_Reason_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
