--- a/internal/ffgossip/content.go
+++ b/internal/ffgossip/content.go
@@ -4,9 +4,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"fireflyfall.dev/fireflyfall/internal/fffleet"
 	"fireflyfall.dev/fireflyfall/internal/ffroute"
 )
@@ -17,42 +20,89 @@
 // maxContent bounds a word on the wire, in bytes.
 const maxContent = 16 << 20
 
-// content is a word on the wire.
+// content is a word on the wire, as far as the peer that asks does not have it.
 type content struct {
-	Revision uint64           `json:"revision"`
-	Age      time.Duration    `json:"age"`
-	Table    *ffroute.Table   `json:"table,omitempty"`
-	Targets  []fffleet.Target `json:"targets"`
+	Revision uint64        `json:"revision"`
+	Age      time.Duration `json:"age"`
+	// Table is the whole configuration, Delta its change against the peer's.
+	Table *ffroute.Table `json:"table,omitempty"`
+	Delta *ffroute.Delta `json:"delta,omitempty"`
+	// SameTargets tells that the peer has the targets.
+	SameTargets bool             `json:"sameTargets,omitempty"`
+	Targets     []fffleet.Target `json:"targets,omitempty"`
+}
+
+// Parameters by which a peer tells what it has.
+const (
+	versionParameter = "version"
+	targetsParameter = "targets"
+)
+
+// have returns the query of a peer that holds w.
+func have(w *Word, fleet fffleet.Fleet) string {
+	return url.Values{
+		versionParameter: {strconv.FormatUint(w.Version(), 10)},
+		targetsParameter: {strconv.FormatUint(fleet.Digest(), 16)},
+	}.Encode()
 }
 
 // ContentHandler serves the word to other daemons.
-type ContentHandler struct{ State *State }
+type ContentHandler struct {
+	State *State
+	Log   zerolog.Logger
+}
 
-// ServeHTTP sends the word, without the configuration when the peer has it.
+// ServeHTTP sends what the peer lacks.
 func (h *ContentHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	word := h.State.Word()
-	revision, fleet := h.State.Read()
-	c := content{Revision: revision, Age: time.Since(word.Confirmed), Table: word.Table, Targets: fleet.All()}
-	if r.URL.Query().Get("version") == strconv.FormatUint(word.Version(), 10) {
-		c.Table = nil
-	}
-	b, err := json.Marshal(c)
+	b, err := json.Marshal(h.content(r.URL.Query()))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+		h.Log.Error().Err(err).Msg("word cannot be encoded")
+		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	_, _ = w.Write(b)
+	if _, err := w.Write(b); err != nil {
+		h.Log.Info().Err(err).Str("peer", r.RemoteAddr).Msg("word not sent")
+	}
+}
+
+func (h *ContentHandler) content(has url.Values) content {
+	word := h.State.Word()
+	revision, fleet := h.State.Read()
+	c := content{Revision: revision, Age: time.Since(word.Confirmed)}
+	if has.Get(targetsParameter) == strconv.FormatUint(fleet.Digest(), 16) {
+		c.SameTargets = true
+	} else {
+		c.Targets = fleet.All()
+	}
+	version, err := strconv.ParseUint(has.Get(versionParameter), 10, 64)
+	if err == nil && version == word.Version() {
+		return c
+	}
+	if base := h.State.version(version); err == nil && base != nil && word.Table != nil {
+		c.Delta = word.Table.Since(base)
+		return c
+	}
+	c.Table = word.Table
+	return c
 }
 
-func decodeContent(r io.Reader) (*content, error) {
+// decodeContent reads a word that was sent to a peer with a configuration.
+func decodeContent(r io.Reader, table *ffroute.Table) (*content, error) {
 	var c content
 	if err := json.NewDecoder(io.LimitReader(r, maxContent)).Decode(&c); err != nil {
 		return nil, &Error{Op: "read a word", Kind: KindDecode, Err: err}
 	}
-	if c.Table != nil {
+	switch {
+	case c.Table != nil:
 		c.Table.Index()
+	case c.Delta != nil && table != nil:
+		next, err := table.With(c.Delta)
+		if err != nil {
+			return nil, &Error{Op: "read a word", Kind: KindDecode, Err: err}
+		}
+		c.Table = next
 	}
 	return &c, nil
 }
--- a/internal/ffgossip/fetch.go
+++ b/internal/ffgossip/fetch.go
@@ -4,9 +4,9 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
 	"fireflyfall.dev/fireflyfall/internal/ffhop"
 )
 
@@ -17,14 +17,14 @@
 )
 
 // fetch asks a peer for its word.
-func fetch(ctx context.Context, pool *ffhop.Pool, version uint64) (*content, error) {
+func fetch(ctx context.Context, pool *ffhop.Pool, has *Word, fleet fffleet.Fleet) (*content, error) {
 	conn, err := pool.Get(ctx, fetchIdle)
 	if err != nil {
 		return nil, err
 	}
 	e, err := conn.Start(ctx, &ffhop.Request{
 		Method: http.MethodGet,
-		URI:    ContentPath + "?version=" + strconv.FormatUint(version, 10),
+		URI:    ContentPath + "?" + have(has, fleet),
 		Host:   pool.Address,
 		Header: http.Header{},
 	})
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := decodeContent(resp.Body)
+	c, err := decodeContent(resp.Body, has.Table)
 	if err != nil {
 		e.Abort()
 		return nil, err
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -229,11 +229,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	c, err := fetch(ctx, n.Pool(vm), n.State.Word().Version())
+	_, known := n.State.Read()
+	c, err := fetch(ctx, n.Pool(vm), n.State.Word(), known)
 	if err != nil {
 		n.Log.Warn().Err(err).Stringer("vm", vm).Msg("word not pulled")
 		return
 	}
-	_, known := n.State.Read()
-	n.State.Offer(vm.String(), c.Revision, time.Now().Add(-c.Age), c.Table, replace(known, c.Targets))
+	fleet := known
+	if !c.SameTargets {
+		fleet = replace(known, c.Targets)
+	}
+	n.State.Offer(vm.String(), c.Revision, time.Now().Add(-c.Age), c.Table, fleet)
 }
--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -32,8 +32,13 @@
 	read  fffleet.Fleet
 	held  []fffleet.Target
 	until time.Time
+	// recent are the last versions, for peers that are a little behind.
+	recent []*ffroute.Table
 }
 
+// recentVersions bounds the versions that are kept for changes.
+const recentVersions = 12
+
 // Word returns the latest word; the zero Word while nothing is known.
 func (s *State) Word() *Word {
 	if w := s.word.Load(); w != nil {
@@ -102,6 +107,12 @@
 
 func (s *State) publish(from string, old, next *Word) {
 	s.word.Store(next)
+	if next.Table != old.Table {
+		s.recent = append(s.recent, next.Table)
+		if len(s.recent) > recentVersions {
+			s.recent = slices.Delete(s.recent, 0, 1)
+		}
+	}
 	if old.Digest() == next.Digest() {
 		return
 	}
@@ -129,6 +140,18 @@
 	s.publish("confirmation", old, &next)
 }
 
+// version returns a recent version, or nil.
+func (s *State) version(n uint64) *ffroute.Table {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.recent {
+		if t.Version == n {
+			return t
+		}
+	}
+	return nil
+}
+
 // Read returns the targets as the store listed them last, without those held.
 func (s *State) Read() (revision uint64, fleet fffleet.Fleet) {
 	s.mu.Lock()
--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -114,7 +114,7 @@
 // peerHandler serves the calls of other daemons, and the word.
 func (n *Node) peerHandler() http.Handler {
 	calls := &ffmeshpeer.Handler{Gate: n.Gate, Log: n.Log}
-	word := &ffgossip.ContentHandler{State: n.State}
+	word := &ffgossip.ContentHandler{State: n.State, Log: n.Log}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == ffgossip.ContentPath {
 			word.ServeHTTP(w, r)
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -29,6 +29,17 @@
 	closedCost = 20 * time.Second
 )
 
+const (
+	// weighAll is the greatest number of targets that are all weighed. Among more,
+	// a few at random are, so that entries with old facts do not crowd the target
+	// that looks best to all of them.
+	weighAll = 12
+	// weighNear and weighAny are the targets of the own data centre, and of any,
+	// that are weighed then.
+	weighNear = 2
+	weighAny  = 2
+)
+
 // Place is where this entry stands.
 type Place struct {
 	VM         netip.Addr
@@ -56,10 +67,7 @@
 // Pick returns the cheapest target of a service that is not in tried.
 func (p *Picker) Pick(fleet fffleet.Fleet, c *ffmesh.Call, tried map[string]bool, now time.Time) (Choice, bool) {
 	var best Choice
-	for _, t := range fleet.Serving(c.Service) {
-		if tried[t.ID] {
-			continue
-		}
+	for _, t := range p.sample(fleet.Serving(c.Service), tried) {
 		best.Candidates++
 		f := p.Board.get(t.VM())
 		cost, wait := p.cost(t, &f, c, now)
@@ -70,6 +78,28 @@
 	return best, best.Candidates > 0
 }
 
+// sample returns the targets to weigh.
+func (p *Picker) sample(serving []fffleet.Target, tried map[string]bool) []fffleet.Target {
+	open := make([]fffleet.Target, 0, len(serving))
+	for _, t := range serving {
+		if !tried[t.ID] {
+			open = append(open, t)
+		}
+	}
+	if len(open) <= weighAll {
+		return open
+	}
+	rand.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
+	near := 0
+	for i := weighAny; i < len(open) && near < weighNear; i++ {
+		if open[i].DataCentre == p.Place.DataCentre {
+			open[weighAny+near], open[i] = open[i], open[weighAny+near]
+			near++
+		}
+	}
+	return open[:weighAny+near]
+}
+
 // cost returns what a call to t likely costs in time, and how much of it is waiting.
 func (p *Picker) cost(t fffleet.Target, f *fact, c *ffmesh.Call, now time.Time) (cost, wait time.Duration) {
 	typical, slots := f.load.Typical, max(t.Slots, 1)
--- a/internal/ffroute/table_test.go
+++ b/internal/ffroute/table_test.go
@@ -51,3 +51,24 @@
 		}
 	}
 }
+
+// TestDelta rebuilds each version from the one before.
+func TestDelta(t *testing.T) {
+	versions := []*ffroute.Table{
+		{Version: 1, Routes: []ffroute.Route{{Name: "a", Host: "h", Prefix: "/a/"}, {Name: "b", Host: "h", Prefix: "/b/"}}},
+		{Version: 4, Routes: []ffroute.Route{{Name: "a", Host: "h", Prefix: "/a/", Attempts: 2}, {Name: "c", Host: "h", Prefix: "/c/"}}},
+		{Version: 5, Services: []ffroute.Service{{Name: "s"}}},
+	}
+	for i, v := range versions[1:] {
+		got, err := versions[i].Index().With(v.Since(versions[i]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(got.Routes) != len(v.Routes) || got.Version != v.Version || len(got.Since(v).Changed)+len(got.Since(v).Removed) != 0 {
+			t.Errorf("version %d: got %+v", v.Version, got)
+		}
+	}
+	if _, err := versions[0].With(versions[2].Since(versions[1])); err == nil {
+		t.Error("a change that does not fit was taken")
+	}
+}
