--- /dev/null
+++ b/internal/fffleet/delta.go
@@ -0,0 +1,33 @@
+package fffleet
+
+// Delta is what changes one fleet into another.
+type Delta struct {
+	Changed []Target `json:"changed,omitempty"`
+	Removed []string `json:"removed,omitempty"`
+}
+
+// Since returns what f changes against base.
+func (f Fleet) Since(base Fleet) *Delta {
+	d := &Delta{}
+	for _, t := range f.All() {
+		if old, ok := base.targets[t.ID]; !ok || !old.same(t) {
+			d.Changed = append(d.Changed, t)
+		}
+	}
+	for _, t := range base.Without(f) {
+		d.Removed = append(d.Removed, t.ID)
+	}
+	return d
+}
+
+// Changes returns d as changes of single targets.
+func (d *Delta) Changes() []Change {
+	changes := make([]Change, 0, len(d.Changed)+len(d.Removed))
+	for i := range d.Changed {
+		changes = append(changes, Change{ID: d.Changed[i].ID, Target: &d.Changed[i]})
+	}
+	for _, id := range d.Removed {
+		changes = append(changes, Change{ID: id})
+	}
+	return changes
+}
--- a/internal/fffleet/fleet_test.go
+++ b/internal/fffleet/fleet_test.go
@@ -57,3 +57,15 @@
 		t.Errorf("got %v", got.ID)
 	}
 }
+
+// TestDelta rebuilds a fleet from an earlier one.
+func TestDelta(t *testing.T) {
+	a := fffleet.New([]fffleet.Target{target("a", 1, 1, fffleet.StateReady), target("b", 1, 1, fffleet.StateReady)})
+	b := fffleet.New([]fffleet.Target{target("b", 1, 2, fffleet.StateDraining), target("c", 1, 1, fffleet.StateReady)})
+	if got := a.With(b.Since(a).Changes()); got.Digest() != b.Digest() {
+		t.Errorf("got %v", got.All())
+	}
+	if d := b.Since(b); len(d.Changed)+len(d.Removed) != 0 {
+		t.Errorf("a fleet differs from itself: %+v", d)
+	}
+}
--- a/internal/ffgossip/content.go
+++ b/internal/ffgossip/content.go
@@ -27,9 +27,9 @@
 	// Table is the whole configuration, Delta its change against the peer's.
 	Table *ffroute.Table `json:"table,omitempty"`
 	Delta *ffroute.Delta `json:"delta,omitempty"`
-	// SameTargets tells that the peer has the targets.
-	SameTargets bool             `json:"sameTargets,omitempty"`
+	// Targets is the whole list of targets, TargetDelta its change against the peer's.
 	Targets     []fffleet.Target `json:"targets,omitempty"`
+	TargetDelta *fffleet.Delta   `json:"targetDelta,omitempty"`
 }
 
 // Parameters by which a peer tells what it has.
@@ -71,10 +71,11 @@
 	word := h.State.Word()
 	revision, fleet := h.State.Read()
 	c := content{Revision: revision, Age: time.Since(word.Confirmed)}
-	if has.Get(targetsParameter) == strconv.FormatUint(fleet.Digest(), 16) {
-		c.SameTargets = true
-	} else {
-		c.Targets = fleet.All()
+	c.Targets = fleet.All()
+	if digest, err := strconv.ParseUint(has.Get(targetsParameter), 16, 64); err == nil {
+		if base, ok := h.State.list(digest); ok {
+			c.Targets, c.TargetDelta = nil, fleet.Since(base)
+		}
 	}
 	version, err := strconv.ParseUint(has.Get(versionParameter), 10, 64)
 	if err == nil && version == word.Version() {
@@ -88,6 +89,14 @@
 	return c
 }
 
+// fleet returns the targets that c makes of those that a peer had.
+func (c *content) fleet(known fffleet.Fleet) fffleet.Fleet {
+	if c.TargetDelta != nil {
+		return known.With(c.TargetDelta.Changes())
+	}
+	return replace(known, c.Targets)
+}
+
 // decodeContent reads a word that was sent to a peer with a configuration.
 func decodeContent(r io.Reader, table *ffroute.Table) (*content, error) {
 	var c content
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -235,9 +235,5 @@
 		n.Log.Warn().Err(err).Stringer("vm", vm).Msg("word not pulled")
 		return
 	}
-	fleet := known
-	if !c.SameTargets {
-		fleet = replace(known, c.Targets)
-	}
-	n.State.Offer(vm.String(), c.Revision, time.Now().Add(-c.Age), c.Table, fleet)
+	n.State.Offer(vm.String(), c.Revision, time.Now().Add(-c.Age), c.Table, c.fleet(known))
 }
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -11,16 +11,17 @@
 )
 
 const (
-	// readAge is the age at which the first daemon in order reads again, and
-	// readStep what each further one waits longer.
-	readAge  = 600 * time.Millisecond
+	// firstAge is the age at which the first daemon in order reads again, readAge
+	// that of the second, and readStep what each further one waits longer.
+	firstAge = 100 * time.Millisecond
+	readAge  = 750 * time.Millisecond
 	readStep = 150 * time.Millisecond
 	// maxReadAge is the age at which every daemon reads, whatever its place.
 	maxReadAge = 1300 * time.Millisecond
 	// readTimeout bounds one call to the store.
 	readTimeout = 900 * time.Millisecond
 	// watchWait is how long a call waits for the first change.
-	watchWait = 400 * time.Millisecond
+	watchWait = 450 * time.Millisecond
 	// readTick is the interval of looks at the age of the word.
 	readTick = 40 * time.Millisecond
 	// Pauses after a failed call.
@@ -72,7 +73,15 @@
 	if w.Confirmed.IsZero() || w.Table == nil {
 		return true
 	}
-	return now.Sub(w.Confirmed) > min(readAge+time.Duration(r.Place())*readStep, maxReadAge)
+	return now.Sub(w.Confirmed) > readDue(r.Place())
+}
+
+// readDue returns the age of the word at which the daemon in a place reads.
+func readDue(place int) time.Duration {
+	if place == 0 {
+		return firstAge
+	}
+	return min(readAge+time.Duration(place-1)*readStep, maxReadAge)
 }
 
 // read asks the store once.
@@ -128,7 +137,12 @@
 		r.Log.Warn().Uint64("revision", revision).Msg("history of the store is gone")
 		return r.readFull(ctx, started)
 	}
-	r.State.Offer("store", changes.Revision, started, changes.Table, fleet.With(changes.Targets))
+	confirmed := started
+	if changes.Table == nil && len(changes.Targets) == 0 {
+		// A watch without changes speaks of the end of its wait.
+		confirmed = started.Add(min(watchWait, time.Since(started)))
+	}
+	r.State.Offer("store", changes.Revision, confirmed, changes.Table, fleet.With(changes.Targets))
 	return nil
 }
 
--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -34,10 +34,12 @@
 	until time.Time
 	// recent are the last versions, for peers that are a little behind.
 	recent []*ffroute.Table
+	// fleets are the last lists of targets.
+	fleets []fffleet.Fleet
 }
 
-// recentVersions bounds the versions that are kept for changes.
-const recentVersions = 12
+// recentKept bounds the versions, and the lists of targets, that are kept.
+const recentKept = 12
 
 // Word returns the latest word; the zero Word while nothing is known.
 func (s *State) Word() *Word {
@@ -70,11 +72,34 @@
 		next.Confirmed = old.Confirmed
 	}
 	s.hold(old, fleet, now)
-	s.read = fleet
+	s.keep(fleet)
 	next.Fleet = fleet.Holding(s.held)
 	s.publish(from, old, next)
 }
 
+// keep takes up a list of targets. The caller holds the lock.
+func (s *State) keep(fleet fffleet.Fleet) {
+	if fleet.Digest() != s.read.Digest() || len(s.fleets) == 0 {
+		s.fleets = append(s.fleets, fleet)
+		if len(s.fleets) > recentKept {
+			s.fleets = slices.Delete(s.fleets, 0, 1)
+		}
+	}
+	s.read = fleet
+}
+
+// list returns a recent list of targets by its digest.
+func (s *State) list(digest uint64) (fffleet.Fleet, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.fleets {
+		if f.Digest() == digest {
+			return f, true
+		}
+	}
+	return fffleet.Fleet{}, false
+}
+
 // offerTable takes up just a newer configuration.
 func (s *State) offerTable(from string, old *Word, table *ffroute.Table) {
 	if newer(old.Table, table) == old.Table {
@@ -109,7 +134,7 @@
 	s.word.Store(next)
 	if next.Table != old.Table {
 		s.recent = append(s.recent, next.Table)
-		if len(s.recent) > recentVersions {
+		if len(s.recent) > recentKept {
 			s.recent = slices.Delete(s.recent, 0, 1)
 		}
 	}
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -248,7 +248,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	if r.Outcome == ffmesh.OutcomeRan {
-		g.times.observe(c.Priority, now.Sub(started))
+		g.times.observe(now, c.Priority, now.Sub(started))
 	}
 	if r.Reason != ffmesh.ReasonCanceled {
 		g.times.outcome(now, r.Reason != ffmesh.ReasonNone || r.Status >= 500)
@@ -268,7 +268,7 @@
 		Running: g.running,
 		Queued:  len(g.queue.waiting),
 		Slots:   target.Slots,
-		Typical: g.times.typical(),
+		Typical: g.times.faded(now),
 		Failing: g.times.failures(now),
 		Closed:  g.closed || !ok || target.State == fffleet.StateDraining,
 	}
--- a/internal/ffinbound/times.go
+++ b/internal/ffinbound/times.go
@@ -10,6 +10,11 @@
 	unknownService = 60 * time.Millisecond
 	// sampleWeight is the weight of a new service time.
 	sampleWeight = 0.1
+	// freshFor is how long a service time counts in full without new samples, and
+	// staleMemory the time constant with which it fades then, so that a target that
+	// was slow once is tried again.
+	freshFor    = time.Second
+	staleMemory = 2 * time.Second
 	// failureMemory is the time constant with which failures are forgotten.
 	failureMemory = 2 * time.Second
 	// failureWeight is the weight of a new outcome.
@@ -20,12 +25,14 @@
 type times struct {
 	mean    map[int]time.Duration
 	overall time.Duration
+	sampled time.Time
 	failing float64
 	at      time.Time
 }
 
 // observe adds the service time of one call.
-func (t *times) observe(priority int, d time.Duration) {
+func (t *times) observe(now time.Time, priority int, d time.Duration) {
+	t.sampled = now
 	if t.mean == nil {
 		t.mean = make(map[int]time.Duration)
 	}
@@ -56,6 +63,15 @@
 	return t.overall
 }
 
+// faded returns the typical service time as others should see it.
+func (t *times) faded(now time.Time) time.Duration {
+	stale := now.Sub(t.sampled) - freshFor
+	if t.overall == 0 || stale <= 0 {
+		return t.typical()
+	}
+	return time.Duration(float64(t.overall) * math.Exp(-stale.Seconds()/staleMemory.Seconds()))
+}
+
 // outcome adds whether a call failed.
 func (t *times) outcome(now time.Time, failed bool) {
 	t.failing = t.failures(now) * (1 - failureWeight)
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -30,7 +30,7 @@
 const (
 	// startRetry is when a client may come back to an entry that knows no
 	// configuration yet.
-	startRetry = 300 * time.Millisecond
+	startRetry = 120 * time.Millisecond
 	// defaultWait is how long a client waits that does not say.
 	defaultWait = 30 * time.Second
 )
