--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -14,8 +14,8 @@
 	unknownTypical = 60 * time.Millisecond
 	// Costs of the way to another VM, and of bytes to another data centre.
 	sameCentreCost  = 500 * time.Microsecond
-	otherCentreCost = 6 * time.Millisecond
-	crossByteCost   = 4 * time.Microsecond
+	otherCentreCost = 10 * time.Millisecond
+	crossByteCost   = 8 * time.Microsecond
 	// failingCost is the cost of a target that fails every call.
 	failingCost = 600 * time.Millisecond
 	// crowding is the part of the service time that a full target costs more.
