--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -188,7 +188,7 @@
 func (n *Node) hear(vm netip.Addr, b []byte) {
 	var h Heartbeat
 	if err := json.Unmarshal(b, &h); err != nil {
-		n.Log.Warn().Err(err).Stringer("vm", vm).Msg("unreadable heartbeat")
+		n.Log.Warn().Err(err).Stringer("peer", vm).Msg("unreadable heartbeat")
 		return
 	}
 	now := time.Now()
@@ -232,7 +232,7 @@
 	_, known := n.State.Read()
 	c, err := fetch(ctx, n.Pool(vm), n.State.Word(), known)
 	if err != nil {
-		n.Log.Warn().Err(err).Stringer("vm", vm).Msg("word not pulled")
+		n.Log.Warn().Err(err).Stringer("peer", vm).Msg("word not pulled")
 		return
 	}
 	n.State.Offer(vm.String(), c.Revision, time.Now().Add(-c.Age), c.Table, c.fleet(known))
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -43,14 +43,14 @@
 func (g *Gate) Do(ctx context.Context, c *ffmesh.Call) *ffmesh.Reply {
 	target, refusal := g.admit(c)
 	if refusal != nil {
-		return g.seal(refusal)
+		return g.refused(c, refusal)
 	}
 	w, refusal := g.enter(c)
 	if refusal != nil {
-		return g.seal(refusal)
+		return g.refused(c, refusal)
 	}
 	if refusal := g.wait(ctx, w); refusal != nil {
-		return g.seal(refusal)
+		return g.refused(c, refusal)
 	}
 	started := time.Now()
 	reply := g.send(ctx, c, target)
@@ -67,10 +67,21 @@
 	return r
 }
 
+// refused logs a refusal with what decided it, and returns its reply.
+func (g *Gate) refused(c *ffmesh.Call, r *ffmesh.Reply) *ffmesh.Reply {
+	g.seal(r)
+	now := time.Now()
+	g.Log.Info().Str("request", c.ID).Stringer("reason", r.Reason).Str("target", r.Load.Target).
+		Int("running", r.Load.Running).Int("queued", r.Load.Queued).Int("slots", r.Load.Slots).
+		Dur("typical", r.Load.Typical).Dur("wait", r.RetryIn).Dur("objectiveIn", c.Objective.Sub(now)).
+		Dur("deadlineIn", c.Deadline.Sub(now)).Msg("gate refused")
+	return r
+}
+
 // Refusal returns why a call would be refused now, or nil.
 func (g *Gate) Refusal(c *ffmesh.Call) *ffmesh.Reply {
 	if _, refusal := g.admit(c); refusal != nil {
-		return g.seal(refusal)
+		return g.refused(c, refusal)
 	}
 	g.mu.Lock()
 	now := time.Now()
@@ -79,7 +90,7 @@
 	if refusal == nil {
 		return nil
 	}
-	return g.seal(refusal)
+	return g.refused(c, refusal)
 }
 
 func refuse(reason ffmesh.Reason, in time.Duration) *ffmesh.Reply {
--- a/internal/ffmeshpeer/client.go
+++ b/internal/ffmeshpeer/client.go
@@ -122,7 +122,7 @@
 	if ctx.Err() != nil {
 		reason = ffmesh.ReasonCanceled
 	}
-	r.client.Log.Warn().Str("request", c.ID).Stringer("vm", r.vm).Stringer("outcome", o).Stringer("reason", reason).
+	r.client.Log.Warn().Str("request", c.ID).Stringer("peer", r.vm).Stringer("outcome", o).Stringer("reason", reason).
 		Err(err).Msg("no reply of a gate")
 	return &ffmesh.Reply{Outcome: o, Reason: reason, Arrived: o != ffmesh.OutcomeNotRun}
 }
--- a/internal/ffoutbound/answer.go
+++ b/internal/ffoutbound/answer.go
@@ -34,6 +34,8 @@
 	}
 	h.Log.Warn().Str("request", r.call.ID).Str("route", r.route.Name).Stringer("kind", r.route.Kind).
 		Int("status", status).Str("reason", reason).Int("offers", r.offers).Int("arrivals", r.arrivals).
+		Str("target", r.choice.Target.ID).Stringer("peer", r.choice.Target.VM()).Bool("hedged", r.hedged).
+		Dur("cost", r.choice.Cost).Dur("factAge", r.choice.Age).Int("candidates", r.choice.Candidates).
 		Dur("elapsed", elapsed).Dur("retryIn", retryIn).Msg("request failed")
 	h.write(w, status, retryIn)
 }
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -101,7 +101,7 @@
 	}
 	verdict := r.verdict()
 	r.handler.Log.Info().Str("request", r.call.ID).Str("route", r.route.Name).Uint64("version", r.table.Version).
-		Str("target", r.choice.Target.ID).Stringer("vm", r.choice.Target.VM()).
+		Str("target", r.choice.Target.ID).Stringer("peer", r.choice.Target.VM()).
 		Dur("cost", r.choice.Cost).Dur("factAge", r.choice.Age).Int("candidates", r.choice.Candidates).
 		Stringer("outcome", r.reply.Outcome).Stringer("reason", r.reply.Reason).Int("status", r.reply.Status).
 		Int("arrivals", r.arrivals).Str("next", verdict).Msg("offer failed")
