--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -35,6 +35,9 @@
 	// discardTime and discardBytes bound what is read of a body that was refused.
 	discardTime  = time.Second
 	discardBytes = 64 << 20
+	// returningAfter is the time that a client has used up when it must have been
+	// refused before.
+	returningAfter = 20 * time.Millisecond
 	// defaultWait is how long a client waits that does not say.
 	defaultWait = 30 * time.Second
 )
@@ -120,6 +123,7 @@
 	if wait <= 0 {
 		wait = defaultWait
 	}
+	spent := h.waits.spent(route.Name, wait)
 	c := &ffmesh.Call{
 		ID:        id,
 		Method:    r.Method,
@@ -133,7 +137,8 @@
 		Priority:  route.Priority,
 		Received:  received,
 		Deadline:  received.Add(wait),
-		Objective: received.Add(route.Objective - h.waits.spent(route.Name, wait)),
+		Objective: received.Add(route.Objective - spent),
+		Returning: spent > returningAfter,
 	}
 	if limit := received.Add(route.Timeout); route.Timeout > 0 && limit.Before(c.Deadline) {
 		c.Deadline = limit
