--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -147,7 +147,6 @@
 func (g *Gate) waiter(c *ffmesh.Call) *waiter {
 	return &waiter{
 		priority:  c.Priority,
-		returning: c.Returning,
 		objective: c.Objective,
 		deadline:  c.Deadline,
 		expected:  g.times.expected(c.Priority),
@@ -158,7 +157,7 @@
 // busy refuses a call whose turn would come too late. The caller holds the lock.
 func (g *Gate) busy(w *waiter, now time.Time) *ffmesh.Reply {
 	delay := g.delay(w, now)
-	if w.hopeless(now.Add(delay)) || !w.returning && w.late(now.Add(delay)) && g.crowded() {
+	if w.hopeless(now.Add(delay)) || w.late(now.Add(delay)) && g.crowded() {
 		return refuse(ffmesh.ReasonBusy, delay)
 	}
 	return nil
@@ -232,7 +231,7 @@
 func (g *Gate) giveUp(w *waiter, ifCrowded bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if ifCrowded && (w.returning || !g.crowded()) {
+	if ifCrowded && !g.crowded() {
 		return false
 	}
 	return g.queue.remove(w)
--- a/internal/ffinbound/queue.go
+++ b/internal/ffinbound/queue.go
@@ -8,7 +8,6 @@
 // waiter is one call that waits for a slot or holds one.
 type waiter struct {
 	priority  int
-	returning bool
 	objective time.Time
 	deadline  time.Time
 	// expected is how long the target will likely take.
@@ -26,16 +25,12 @@
 // queue holds the waiting calls, the next one first.
 type queue struct{ waiting []*waiter }
 
-// before orders by priority, then clients that were refused once before those
-// that were not, then those that can still meet their objective,
+// before orders by priority, then those that can still meet their objective,
 // then by the objective's time.
 func before(a, b *waiter, now time.Time) bool {
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
-	if a.returning != b.returning {
-		return a.returning
-	}
 	if late := a.late(now); late != b.late(now) {
 		return !late
 	}
--- a/internal/ffmesh/call.go
+++ b/internal/ffmesh/call.go
@@ -34,8 +34,6 @@
 	Deadline time.Time
 	// Objective is the time until which an answer is worth most.
 	Objective time.Time
-	// Returning tells that the client was refused before and came back.
-	Returning bool
 	// Received is when the entry had read the head of the request.
 	Received time.Time
 }
--- a/internal/ffmeshpeer/head.go
+++ b/internal/ffmeshpeer/head.go
@@ -26,13 +26,12 @@
 	Left      time.Duration `json:"left"`
 	Objective time.Duration `json:"objective"`
 	Elapsed   time.Duration `json:"elapsed"`
-	Returning bool          `json:"returning,omitempty"`
 }
 
 func headOf(c *ffmesh.Call, now time.Time) (string, error) {
 	b, err := json.Marshal(callHead{
 		ID: c.ID, Origin: c.Origin, Service: c.Service, Target: c.Target, Kind: c.Kind, Priority: c.Priority,
-		Left: c.Deadline.Sub(now), Objective: c.Objective.Sub(now), Elapsed: now.Sub(c.Received), Returning: c.Returning,
+		Left: c.Deadline.Sub(now), Objective: c.Objective.Sub(now), Elapsed: now.Sub(c.Received),
 	})
 	return string(b), err
 }
@@ -41,7 +40,7 @@
 func (h callHead) call(now time.Time) *ffmesh.Call {
 	return &ffmesh.Call{
 		ID: h.ID, Origin: h.Origin, Service: h.Service, Target: h.Target, Kind: h.Kind, Priority: h.Priority,
-		Deadline: now.Add(h.Left), Objective: now.Add(h.Objective), Received: now.Add(-h.Elapsed), Returning: h.Returning,
+		Deadline: now.Add(h.Left), Objective: now.Add(h.Objective), Received: now.Add(-h.Elapsed),
 	}
 }
 
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -35,9 +35,6 @@
 	// discardTime and discardBytes bound what is read of a body that was refused.
 	discardTime  = time.Second
 	discardBytes = 64 << 20
-	// returningAfter is the time that a client has used up when it must have been
-	// refused before.
-	returningAfter = 20 * time.Millisecond
 	// defaultWait is how long a client waits that does not say.
 	defaultWait = 30 * time.Second
 )
@@ -123,7 +120,6 @@
 	if wait <= 0 {
 		wait = defaultWait
 	}
-	spent := h.waits.spent(route.Name, wait)
 	c := &ffmesh.Call{
 		ID:        id,
 		Method:    r.Method,
@@ -137,8 +133,7 @@
 		Priority:  route.Priority,
 		Received:  received,
 		Deadline:  received.Add(wait),
-		Objective: received.Add(route.Objective - spent),
-		Returning: spent > returningAfter,
+		Objective: received.Add(route.Objective - h.waits.spent(route.Name, wait)),
 	}
 	if limit := received.Add(route.Timeout); route.Timeout > 0 && limit.Before(c.Deadline) {
 		c.Deadline = limit
