--- a/internal/fffleet/fleet.go
+++ b/internal/fffleet/fleet.go
@@ -15,6 +15,7 @@
 type Fleet struct {
 	targets map[string]Target
 	serving map[string][]Target
+	latest  map[netip.AddrPort]Target
 	digest  uint64
 }
 
@@ -56,21 +57,6 @@
 	return t, ok
 }
 
-// At returns the latest target at an address.
-func (f Fleet) At(address netip.AddrPort) (Target, bool) {
-	var found Target
-	ok := false
-	for _, t := range f.targets {
-		if t.Address != address {
-			continue
-		}
-		if !ok || found.Born < t.Born || found.Born == t.Born && found.State == StateDraining && t.State == StateReady {
-			found, ok = t, true
-		}
-	}
-	return found, ok
-}
-
 // Change is one step from a fleet to the next.
 type Change struct {
 	ID string
@@ -99,7 +85,7 @@
 		}
 	}
 	if !material {
-		return Fleet{targets: m, serving: f.serving, digest: f.digest}
+		return Fleet{targets: m, serving: f.serving, latest: f.latest, digest: f.digest}
 	}
 	return build(m)
 }
--- a/internal/fffleet/fleet_test.go
+++ b/internal/fffleet/fleet_test.go
@@ -56,6 +56,9 @@
 	if got, ok := f.At(netip.MustParseAddrPort("10.0.0.1:1")); !ok || got.ID != "new" {
 		t.Errorf("got %v", got.ID)
 	}
+	if got := f.Serving("s"); len(got) != 1 || got[0].ID != "new" {
+		t.Errorf("requests go to %v", got)
+	}
 }
 
 // TestDelta rebuilds a fleet from an earlier one.
--- a/internal/fffleet/target.go
+++ b/internal/fffleet/target.go
@@ -42,6 +42,14 @@
 	return t.Sequence < u.Sequence
 }
 
+// replaces reports whether t, at the address of u, came after u.
+func (t Target) replaces(u Target) bool {
+	if t.Born != u.Born {
+		return t.Born > u.Born
+	}
+	return u.State == StateDraining && t.State == StateReady
+}
+
 // same reports whether t and u differ in nothing but their heartbeat.
 func (t Target) same(u Target) bool {
 	t.Sequence = u.Sequence
