--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -34,7 +34,7 @@
 	running int
 	queue   queue
 	times   times
-	// due sums the expected ends of the running calls, for the estimate of waits.
+	// due holds when each running call will likely end, for the work that Load tells.
 	due    map[*waiter]time.Time
 	closed bool
 }
--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -22,7 +22,7 @@
 }
 
 // Budget keeps this entry's share of the fleet's repeats. The zero value needs an
-// Allowance and allows nothing without one.
+// Allowance.
 type Budget struct {
 	mu        sync.Mutex
 	allowance Allowance
