Distribution: a VM that comes back is announced down the tree, as one that leaves

Ruled out: the incarnation (each daemon that had the word used it), suspects. Now the returning daemon tells the tree and two daemons of each other data centre, and each daemon passes a return on like a leave.

--- a/internal/ffdistribution/evidence.go
+++ b/internal/ffdistribution/evidence.go
@@ -46,11 +46,25 @@
 	evidence := n.ownEvidence(time.Now())
 	n.Members.Learn(time.Now(), evidence)
 	n.rumours.add([]ffmember.Evidence{evidence})
-	told := []ffmember.Evidence{evidence}
+	n.tellAll(ctx, evidence)
+}
+
+// tellAll spreads this daemon's word down the tree and to the other data centres at once.
+func (n *Node) tellAll(ctx context.Context, own ffmember.Evidence) {
+	told := []ffmember.Evidence{own}
 	n.announce(ctx, news{foreign: true, evidence: told})
 	n.tell(ctx, n.foreignSample(foreignTold), told)
 }
 
+// comeBack tells every daemon that this VM is live again, when it left before.
+func (n *Node) comeBack(ctx context.Context) {
+	left, ok := n.Members.View().EvidenceOf(n.Self.Name)
+	n.renew(time.Now())
+	if ok && left.State != ffmember.StateLive && n.State() == ffmember.StateLive {
+		n.tellAll(ctx, n.ownEvidence(time.Now()))
+	}
+}
+
 // ownEvidence returns what this daemon says of its own VM at now.
 func (n *Node) ownEvidence(now time.Time) ffmember.Evidence {
 	life := liveLife
@@ -83,21 +97,24 @@
 	n.rumours.add([]ffmember.Evidence{own})
 }
 
-// learnEvidence merges evidence and passes on what was new.
+// learnEvidence merges evidence and passes on what was new. A VM that leaves or
+// comes back is news for the tree; a live one that stays so travels on exchanges.
 func (n *Node) learnEvidence(all []ffmember.Evidence, foreign bool) {
+	before := n.Members.View()
 	fresh := n.Members.Learn(time.Now(), all...)
 	if len(fresh) == 0 {
 		return
 	}
 	n.rumours.add(fresh)
-	var leaving []ffmember.Evidence
+	var moved []ffmember.Evidence
 	for _, e := range fresh {
-		if e.State != ffmember.StateLive {
-			leaving = append(leaving, e)
+		known, _ := before.EvidenceOf(e.VM.Name)
+		if e.State != ffmember.StateLive || known.State != ffmember.StateLive {
+			moved = append(moved, e)
 		}
 	}
-	if len(leaving) > 0 {
-		offer(n.news, news{foreign: foreign, evidence: leaving})
+	if len(moved) > 0 {
+		offer(n.news, news{foreign: foreign, evidence: moved})
 	}
 }
 
--- a/internal/ffdistribution/startup.go
+++ b/internal/ffdistribution/startup.go
@@ -55,9 +55,9 @@
 	for ctx.Err() == nil {
 		known := n.learnRound(ctx, until)
 		if known || (held && !time.Now().Before(lastChance)) {
-			n.renew(time.Now())
 			n.learnt.Store(true)
 			offer(n.news, news{})
+			n.comeBack(ctx)
 			return
 		}
 		_ = waitUntil(ctx, time.Now().Add(wait.NextBackOff()))
