Long bodies come one at a time over a slow link; calls that may run again go out whole

Its 17 VMs have links of 20.3 Mbit/s and take 110 uploads of 280 KB a second, several at once, and every short call waits behind their bytes, twice: for the consent and again for its last chunk. Ruled out: processor time (mean 0.022 of 0.16 cores, most 0.057), the targets (142 of 25,602 arrivals turned away).

Now a gate lets long bodies in by priority and objective, as many as its link carries (one at 20 Mbit/s), and tells the entries that wait that it lives; entries count the bodies on their way when they choose, and weigh more targets of their own data centre for a long body. A call that may run again goes out whole; the gate shows a sign that it has it, so a silent VM is still known after 150 ms. Load.Busy and the gate's due, which decided nothing, are gone.

--- a/internal/ffcommand/watcher_test.go
+++ b/internal/ffcommand/watcher_test.go
@@ -28,6 +28,7 @@
 bounds.budgetWindowS=10
 bounds.graceS=6
 limits.memoryMb=10
+limits.linkMbps=100
 `
 
 // TestWatcher takes up changed settings after SIGHUP and without it, passes over
--- a/internal/ffhop/error.go
+++ b/internal/ffhop/error.go
@@ -14,6 +14,7 @@
 	KindUnsent              // unsent
 	KindUnacked             // unacknowledged
 	KindBroken              // broken
+	KindSilent              // silent
 )
 
 // Error is a failure of an exchange.
--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +36,9 @@
 	// no byte of the body goes out before, so that a peer that has not asked has
 	// nothing to run.
 	Consent time.Duration
+	// Sign is how long the peer may take to show that it has got the request, by
+	// an interim answer. Without Consent the whole request goes out at once.
+	Sign time.Duration
 }
 
 // Exchange is one request under way on a connection.
@@ -46,6 +51,9 @@
 	wrote   bool
 	// early is a final answer that came in place of the consent.
 	early *http.Response
+	// silentAt is when the peer counts as silent unless it has shown a sign; zero
+	// when none is awaited.
+	silentAt time.Time
 }
 
 // Start sends a request. A long body goes out while the answer is awaited. After
@@ -69,6 +77,9 @@
 	if !joined {
 		e.sendBody(r)
 	}
+	if r.Sign > 0 {
+		e.silentAt = time.Now().Add(r.Sign)
+	}
 	return e, nil
 }
 
@@ -78,8 +89,7 @@
 	if _, err := e.conn.net.Write(r.head().Bytes()); err != nil {
 		return nil, e.fail("send", err)
 	}
-	_ = e.conn.net.SetReadDeadline(time.Now().Add(r.Consent))
-	resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
+	resp, err := e.consent(r)
 	if err != nil {
 		return nil, e.unacked(err)
 	}
@@ -106,6 +116,21 @@
 	return e, nil
 }
 
+// consent awaits the word of the peer that it wants the body, or its final answer.
+// Each word that the body has to wait grants the peer as much time again.
+func (e *Exchange) consent(r *Request) (*http.Response, error) {
+	for {
+		if err := e.ctx.Err(); err != nil {
+			return nil, err
+		}
+		_ = e.conn.net.SetReadDeadline(time.Now().Add(r.Consent))
+		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
+		if err != nil || resp.StatusCode != http.StatusProcessing {
+			return resp, err
+		}
+	}
+}
+
 // unacked ends an exchange whose peer did not ask for the body. The reset makes
 // sure that what is still on its way is dropped.
 func (e *Exchange) unacked(err error) error {
@@ -193,9 +218,15 @@
 	if e.early != nil {
 		return e.early, nil
 	}
+	if !e.silentAt.IsZero() {
+		_ = e.conn.net.SetReadDeadline(e.silentAt)
+	}
 	for {
 		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
 		if err != nil {
+			return nil, e.unread(err)
+		}
+		if err := e.heard(); err != nil {
 			return nil, e.fail("receive", err)
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
@@ -204,6 +235,27 @@
 	}
 }
 
+// heard ends the wait for a sign of the peer.
+func (e *Exchange) heard() error {
+	if e.silentAt.IsZero() {
+		return nil
+	}
+	e.silentAt = time.Time{}
+	_ = e.conn.net.SetReadDeadline(time.Time{})
+	return e.ctx.Err()
+}
+
+// unread ends an exchange whose answer cannot be read. A peer that has shown no
+// sign in time may still have got the request; the reset makes it unlikely.
+func (e *Exchange) unread(err error) error {
+	if !e.silentAt.IsZero() && e.ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		failed := e.unacked(err).(*Error)
+		failed.Kind = KindSilent
+		return failed
+	}
+	return e.fail("receive", err)
+}
+
 // Abort ends the exchange and its connection.
 func (e *Exchange) Abort() {
 	e.release()
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -26,7 +26,9 @@
 	Target  Local
 	Dialect ffmesh.Dialect
 	Pool    *ffhop.Pool
-	Log     zerolog.Logger
+	// Intake orders the long bodies that come from other VMs.
+	Intake *Intake
+	Log    zerolog.Logger
 
 	mu      sync.Mutex
 	id      string
@@ -34,9 +36,7 @@
 	running int
 	queue   queue
 	times   times
-	// due holds when each running call will likely end, for the work that Load tells.
-	due    map[*waiter]time.Time
-	closed bool
+	closed  bool
 }
 
 // Do implements ffmesh.Gate.
@@ -55,10 +55,10 @@
 	started := time.Now()
 	reply := g.send(ctx, c, target)
 	if reply.Stream != nil {
-		reply.Stream = &held{ReadCloser: reply.Stream, release: func() { g.leave(w, c, reply, started) }}
+		reply.Stream = &held{ReadCloser: reply.Stream, release: func() { g.leave(c, reply, started) }}
 		return g.seal(reply)
 	}
-	g.leave(w, c, reply, started)
+	g.leave(c, reply, started)
 	return g.seal(reply)
 }
 
@@ -83,16 +83,42 @@
 	if _, refusal := g.admit(c); refusal != nil {
 		return g.refused(c, refusal)
 	}
+	in := g.intake(c)
 	g.mu.Lock()
 	now := time.Now()
-	refusal := g.busy(g.waiter(c), now)
+	refusal := g.busy(g.waiter(c), now.Add(in))
 	g.mu.Unlock()
 	if refusal == nil {
 		return nil
 	}
+	refusal.RetryIn += in
 	return g.refused(c, refusal)
 }
 
+// intake returns how long it takes until the body of c is in.
+func (g *Gate) intake(c *ffmesh.Call) time.Duration {
+	if g.Intake == nil || !c.Long() {
+		return 0
+	}
+	return g.Intake.Ahead() + g.Intake.transfer(c)
+}
+
+// Receive waits until the body of c may come over the link, and calls alive while
+// it waits. The caller calls done when the body is in or was given up.
+func (g *Gate) Receive(ctx context.Context, c *ffmesh.Call, alive func()) (done func(), refusal *ffmesh.Reply) {
+	if g.Intake == nil {
+		return func() {}, nil
+	}
+	g.mu.Lock()
+	expected := g.times.expected(c.Priority)
+	g.mu.Unlock()
+	done, ok := g.Intake.enter(ctx, c, expected, alive)
+	if !ok {
+		return nil, g.refused(c, refuse(ffmesh.ReasonIntake, g.Intake.Ahead()))
+	}
+	return done, nil
+}
+
 func refuse(reason ffmesh.Reason, in time.Duration) *ffmesh.Reply {
 	return &ffmesh.Reply{Outcome: ffmesh.OutcomeNotRun, Reason: reason, RetryIn: in}
 }
@@ -188,10 +214,6 @@
 			continue
 		}
 		g.running++
-		if g.due == nil {
-			g.due = make(map[*waiter]time.Time)
-		}
-		g.due[w] = now.Add(w.expected)
 		w.granted <- true
 	}
 }
@@ -221,7 +243,7 @@
 		}
 	}
 	if !g.giveUp(w, false) && <-w.granted {
-		g.release(w)
+		g.release()
 	}
 	return refuse(ffmesh.ReasonCanceled, 0)
 }
@@ -246,16 +268,15 @@
 	return refuse(ffmesh.ReasonDeadline, g.times.typical())
 }
 
-func (g *Gate) release(w *waiter) {
+func (g *Gate) release() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
-	delete(g.due, w)
 	g.dispatch(time.Now())
 }
 
 // leave gives the slot of a call back and learns from what became of it.
-func (g *Gate) leave(w *waiter, c *ffmesh.Call, r *ffmesh.Reply, started time.Time) {
+func (g *Gate) leave(c *ffmesh.Call, r *ffmesh.Reply, started time.Time) {
 	now := time.Now()
 	g.mu.Lock()
 	if r.Outcome == ffmesh.OutcomeRan {
@@ -265,7 +286,7 @@
 		g.times.outcome(now, r.Reason != ffmesh.ReasonNone || r.Status >= 500)
 	}
 	g.mu.Unlock()
-	g.release(w)
+	g.release()
 }
 
 // Load returns what the gate knows of its target now.
@@ -283,11 +304,8 @@
 		Failing: g.times.failures(now),
 		Closed:  g.closed || !ok || target.State == fffleet.StateDraining,
 	}
-	for _, end := range g.due {
-		l.Busy += max(end.Sub(now), 0)
-	}
-	for _, w := range g.queue.waiting {
-		l.Busy += w.expected
+	if g.Intake != nil {
+		l.Intake, l.Link = g.Intake.Ahead(), g.Intake.Rate
 	}
 	return l
 }
--- a/internal/ffmesh/call.go
+++ b/internal/ffmesh/call.go
@@ -37,3 +37,18 @@
 	// Received is when the entry had read the head of the request.
 	Received time.Time
 }
+
+// longBody is the length from which a body counts as long on a slow link, in bytes.
+const longBody = 16 << 10
+
+// BodyLength returns the length of the body in bytes; that of the longest held
+// body when it is not known.
+func (c *Call) BodyLength() int64 {
+	if c.Length < 0 {
+		return HeldBody
+	}
+	return max(c.Length, int64(len(c.Body)))
+}
+
+// Long reports whether the body takes a notable time on a slow link.
+func (c *Call) Long() bool { return c.BodyLength() >= longBody }
--- a/internal/ffmesh/enum_string.go
+++ b/internal/ffmesh/enum_string.go
@@ -42,11 +42,12 @@
 	_ = x[ReasonCanceled-10]
 	_ = x[ReasonLeaving-11]
 	_ = x[ReasonSilent-12]
+	_ = x[ReasonIntake-13]
 }
 
-const _Reason_name = "nonebusydeadlinedrainingnoTargetshedmisdirectedconnectbrokenspoiledcanceledleavingsilent"
+const _Reason_name = "nonebusydeadlinedrainingnoTargetshedmisdirectedconnectbrokenspoiledcanceledleavingsilentintake"
 
-var _Reason_index = [...]uint8{0, 4, 8, 16, 24, 32, 36, 47, 54, 60, 67, 75, 82, 88}
+var _Reason_index = [...]uint8{0, 4, 8, 16, 24, 32, 36, 47, 54, 60, 67, 75, 82, 88, 94}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/ffmesh/reply.go
+++ b/internal/ffmesh/reply.go
@@ -37,6 +37,7 @@
 	ReasonCanceled                // canceled
 	ReasonLeaving                 // leaving
 	ReasonSilent                  // silent
+	ReasonIntake                  // intake
 )
 
 // Reply is what became of a call.
@@ -64,9 +65,12 @@
 	Running int    `json:"running"`
 	Queued  int    `json:"queued"`
 	Slots   int    `json:"slots"`
-	// Busy is the work ahead of a new call, and Typical the mean service time.
-	Busy    time.Duration `json:"busy"`
+	// Typical is the mean service time.
 	Typical time.Duration `json:"typical"`
+	// Intake is the time that long bodies on their way to this VM still take, and
+	// Link what its link carries, in bytes a second; 0 when it is not known.
+	Intake time.Duration `json:"intake,omitempty"`
+	Link   int64         `json:"link,omitempty"`
 	// Failing is the recent share of calls that the target failed, 0 to 1.
 	Failing float64 `json:"failing"`
 	// Closed tells that the gate takes no calls.
--- a/internal/ffmeshpeer/client.go
+++ b/internal/ffmeshpeer/client.go
@@ -19,9 +19,10 @@
 const (
 	// dialTimeout bounds a connection to another daemon.
 	dialTimeout = 250 * time.Millisecond
-	// consentTimeout is how long a gate may take to ask for a call's body. A VM
-	// that is frozen, cut off or overrun does not ask in time.
-	consentTimeout = 150 * time.Millisecond
+	// signTimeout is how long a gate may take to ask for a call's body, or to show
+	// that it has got a call that may run again. A VM that is frozen, cut off or
+	// overrun does not do so in time.
+	signTimeout = 150 * time.Millisecond
 	// idleKept is how long an idle connection to another daemon is kept; the
 	// daemon's server closes it later than that.
 	idleKept = 20 * time.Second
@@ -91,10 +92,16 @@
 	}
 	header := c.Header.Clone()
 	header.Set(callHeader, head)
-	e, err := conn.Start(ctx, &ffhop.Request{
+	req := &ffhop.Request{
 		Method: c.Method, URI: c.URI, Host: c.Host, Header: header,
-		Body: c.Body, Stream: c.Stream, Length: c.Length, Consent: consentTimeout,
-	})
+		Body: c.Body, Stream: c.Stream, Length: c.Length,
+	}
+	if c.Kind.Idempotent() && c.Stream == nil && !c.Long() {
+		req.Sign = signTimeout
+	} else {
+		req.Consent = signTimeout
+	}
+	e, err := conn.Start(ctx, req)
 	if err != nil {
 		return r.broken(ctx, c, pool, err)
 	}
@@ -112,7 +119,10 @@
 		pool.Clear()
 	}
 	var failed *ffhop.Error
-	if errors.As(err, &failed) && failed.Kind != ffhop.KindBroken {
+	switch {
+	case errors.As(err, &failed) && failed.Kind == ffhop.KindSilent:
+		return r.failed(ctx, c, ffmesh.OutcomeUnknown, ffmesh.ReasonSilent, err)
+	case failed != nil && failed.Kind != ffhop.KindBroken:
 		return r.failed(ctx, c, ffmesh.OutcomeNotRun, ffmesh.ReasonSilent, err)
 	}
 	return r.failed(ctx, c, ffmesh.OutcomeUnknown, ffmesh.ReasonBroken, err)
--- a/internal/ffmeshpeer/head.go
+++ b/internal/ffmeshpeer/head.go
@@ -17,12 +17,14 @@
 // callHead is what a gate must know of a call beside the request itself. Times
 // are what was left when it was sent.
 type callHead struct {
-	ID        string        `json:"id"`
-	Origin    string        `json:"origin"`
-	Service   string        `json:"service"`
-	Target    string        `json:"target"`
-	Kind      ffroute.Kind  `json:"kind"`
-	Priority  int           `json:"priority"`
+	ID       string       `json:"id"`
+	Origin   string       `json:"origin"`
+	Service  string       `json:"service"`
+	Target   string       `json:"target"`
+	Kind     ffroute.Kind `json:"kind"`
+	Priority int          `json:"priority"`
+	// Length is the length of the body in bytes; -1 when it is not known.
+	Length    int64         `json:"length"`
 	Left      time.Duration `json:"left"`
 	Objective time.Duration `json:"objective"`
 	Elapsed   time.Duration `json:"elapsed"`
@@ -31,7 +33,7 @@
 func headOf(c *ffmesh.Call, now time.Time) (string, error) {
 	b, err := json.Marshal(callHead{
 		ID: c.ID, Origin: c.Origin, Service: c.Service, Target: c.Target, Kind: c.Kind, Priority: c.Priority,
-		Left: c.Deadline.Sub(now), Objective: c.Objective.Sub(now), Elapsed: now.Sub(c.Received),
+		Length: c.Length, Left: c.Deadline.Sub(now), Objective: c.Objective.Sub(now), Elapsed: now.Sub(c.Received),
 	})
 	return string(b), err
 }
@@ -40,7 +42,7 @@
 func (h callHead) call(now time.Time) *ffmesh.Call {
 	return &ffmesh.Call{
 		ID: h.ID, Origin: h.Origin, Service: h.Service, Target: h.Target, Kind: h.Kind, Priority: h.Priority,
-		Deadline: now.Add(h.Left), Objective: now.Add(h.Objective), Received: now.Add(-h.Elapsed),
+		Length: h.Length, Deadline: now.Add(h.Left), Objective: now.Add(h.Objective), Received: now.Add(-h.Elapsed),
 	}
 }
 
--- a/internal/ffmeshpeer/server.go
+++ b/internal/ffmeshpeer/server.go
@@ -18,6 +18,9 @@
 	ffmesh.Gate
 	// Refusal returns why a call would be refused now, or nil.
 	Refusal(c *ffmesh.Call) *ffmesh.Reply
+	// Receive waits until the call's body may come, and calls alive while it waits.
+	// The caller calls done when the body is in or was given up.
+	Receive(ctx context.Context, c *ffmesh.Call, alive func()) (done func(), refusal *ffmesh.Reply)
 }
 
 // Handler serves the calls of other daemons at this VM's gate. A call's body is
@@ -45,6 +48,9 @@
 		h.write(w, c, refusal)
 		return
 	}
+	if r.Header.Get("Expect") == "" {
+		w.WriteHeader(http.StatusProcessing)
+	}
 	release, ok := h.Memory.Hold(r)
 	if !ok {
 		h.Log.Warn().Str("request", c.ID).Msg("no memory for the body of a call")
@@ -52,13 +58,20 @@
 		return
 	}
 	defer release()
+	done, refusal := h.Gate.Receive(r.Context(), c, func() { w.WriteHeader(http.StatusProcessing) })
+	if refusal != nil {
+		h.write(w, c, refusal)
+		return
+	}
+	defer done()
 	body, stream, err := ffmesh.ReadBody(r)
 	if err != nil {
 		h.Log.Warn().Err(err).Str("request", c.ID).Msg("body of a call broke off")
 		panic(http.ErrAbortHandler)
 	}
-	c.Body, c.Stream, c.Length = body, stream, r.ContentLength
+	c.Body, c.Stream = body, stream
 	if stream == nil {
+		done()
 		c.Length = int64(len(body))
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -44,6 +44,7 @@
 		Target:  local,
 		Dialect: dialect,
 		Pool:    &ffhop.Pool{Address: s.Target.String(), Dialer: ffhop.Dialer(targetDial), MaxIdle: targetIdle},
+		Intake:  &ffinbound.Intake{Rate: s.Link},
 		Log:     log,
 	}
 }
--- a/internal/ffnode/settings.go
+++ b/internal/ffnode/settings.go
@@ -29,4 +29,6 @@
 	StopGrace time.Duration
 	// Memory is what the process may use, in bytes.
 	Memory int64
+	// Link is what the VM's link carries, in bytes a second.
+	Link int64
 }
--- a/internal/ffoutbound/board.go
+++ b/internal/ffoutbound/board.go
@@ -23,9 +23,11 @@
 	learned time.Time
 	down    time.Time
 	leaving bool
-	// open counts our calls there; since counts those that began after learned.
+	// open counts our calls there; since counts those that began after learned, and
+	// sent the bytes of their long bodies.
 	open  int
 	since int
+	sent  int64
 }
 
 // Board holds what is known of every gate. The zero value knows nothing.
@@ -53,7 +55,7 @@
 	f := b.of(vm)
 	f.load, f.leaving = load, leaving
 	f.heard, f.learned = now, now
-	f.since = 0
+	f.since, f.sent = 0, 0
 }
 
 // learn takes up the load that came with a reply.
@@ -63,7 +65,7 @@
 	f := b.of(vm)
 	f.load, f.learned = load, now
 	f.down = time.Time{}
-	f.since = 0
+	f.since, f.sent = 0, 0
 }
 
 // fail marks a VM that could not be reached.
@@ -74,12 +76,15 @@
 }
 
 // begin counts a call to a VM; end takes it back.
-func (b *Board) begin(vm netip.Addr) {
+func (b *Board) begin(vm netip.Addr, c *ffmesh.Call) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	f := b.of(vm)
 	f.open++
 	f.since++
+	if c.Long() {
+		f.sent += c.BodyLength()
+	}
 }
 
 func (b *Board) end(vm netip.Addr) {
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -140,6 +140,9 @@
 	}
 	var err error
 	c.Body, c.Stream, err = ffmesh.ReadBody(r)
+	if c.Stream == nil {
+		c.Length = int64(len(c.Body))
+	}
 	return c, err
 }
 
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -38,6 +38,9 @@
 	// that are weighed then.
 	weighNear = 2
 	weighAny  = 2
+	// weighNearLong takes the place of weighNear for a long body, which had better
+	// not leave the data centre.
+	weighNearLong = 3
 )
 
 // Place is where this entry stands.
@@ -67,7 +70,7 @@
 // Pick returns the cheapest target of a service that is not in tried.
 func (p *Picker) Pick(fleet fffleet.Fleet, c *ffmesh.Call, tried map[string]bool, now time.Time) (Choice, bool) {
 	var best Choice
-	for _, t := range p.sample(fleet.Serving(c.Service), tried) {
+	for _, t := range p.sample(fleet.Serving(c.Service), c, tried) {
 		best.Candidates++
 		f := p.Board.get(t.VM())
 		cost, wait := p.cost(t, &f, c, now)
@@ -78,8 +81,9 @@
 	return best, best.Candidates > 0
 }
 
-// sample returns the targets to weigh.
-func (p *Picker) sample(serving []fffleet.Target, tried map[string]bool) []fffleet.Target {
+// sample returns the targets to weigh: of many the own VM's, some near ones, and
+// some from anywhere.
+func (p *Picker) sample(serving []fffleet.Target, c *ffmesh.Call, tried map[string]bool) []fffleet.Target {
 	open := make([]fffleet.Target, 0, len(serving))
 	for _, t := range serving {
 		if !tried[t.ID] {
@@ -90,14 +94,21 @@
 		return open
 	}
 	rand.Shuffle(len(open), func(i, j int) { open[i], open[j] = open[j], open[i] })
+	most := weighNear
+	if c.Long() {
+		most = weighNearLong
+	}
+	weighed := weighAny
 	near := 0
-	for i := weighAny; i < len(open) && near < weighNear; i++ {
-		if open[i].DataCentre == p.Place.DataCentre {
-			open[weighAny+near], open[i] = open[i], open[weighAny+near]
+	for i := weighAny; i < len(open); i++ {
+		own := open[i].VM() == p.Place.VM
+		if own || near < most && open[i].DataCentre == p.Place.DataCentre {
+			open[weighed], open[i] = open[i], open[weighed]
+			weighed++
 			near++
 		}
 	}
-	return open[:weighAny+near]
+	return open[:weighed]
 }
 
 // cost returns what a call to t likely costs in time, and how much of it is waiting.
@@ -112,7 +123,15 @@
 	cost = wait + typical + time.Duration(crowding*used*used*float64(typical))
 	cost += time.Duration(f.load.Failing * float64(failingCost))
 	cost = time.Duration(float64(cost) * (1 + noise*rand.Float64()))
-	return cost + p.way(t, c) + p.avoidance(t, f, now), wait
+	return cost + p.way(t, c) + p.link(t, f, c) + p.avoidance(t, f, now), wait
+}
+
+// link returns how long a long body takes to t, with those on their way before it.
+func (p *Picker) link(t fffleet.Target, f *fact, c *ffmesh.Call) time.Duration {
+	if t.VM() == p.Place.VM || !c.Long() || f.load.Link <= 0 {
+		return 0
+	}
+	return f.load.Intake + time.Duration(float64(f.sent+c.BodyLength())/float64(f.load.Link)*float64(time.Second))
 }
 
 // way returns the cost of the way to t.
--- a/internal/ffoutbound/race.go
+++ b/internal/ffoutbound/race.go
@@ -21,7 +21,7 @@
 	to := *c
 	to.Target = t.ID
 	board := h.Picker.Board
-	board.begin(t.VM())
+	board.begin(t.VM(), c)
 	reply := h.Gates.Gate(t.VM()).Do(ctx, &to)
 	board.end(t.VM())
 	now := time.Now()
