Silence starts a hedge instead of ending a call; large fleets spread news in turn

Silence now only starts the hedge and marks the VM; the call goes on. Calls to a VM that was not heard of lately still go out after consent alone.

In a fleet of 74 each daemon is heard every 1.2 s, yet counted as silent after 0.9 s by entries and after 1.2 s in the order of readers: heartbeats now tell when the next one comes. A reader sent a heartbeat to all after each read and encoded the same change for each peer; of more than 16 peers it now tells 8, who tell others in turn, and each change is encoded once.

--- a/internal/ffgossip/content.go
+++ b/internal/ffgossip/content.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,10 +21,14 @@
 // maxContent bounds a word on the wire, in bytes.
 const maxContent = 16 << 20
 
+// ageHeader tells how old a word is, in nanoseconds.
+const ageHeader = "Fireflyfall-Age"
+
 // content is a word on the wire, as far as the peer that asks does not have it.
 type content struct {
-	Revision uint64        `json:"revision"`
-	Age      time.Duration `json:"age"`
+	Revision uint64 `json:"revision"`
+	// Age is told beside the content, which many peers get alike.
+	Age time.Duration `json:"-"`
 	// Table is the whole configuration, Delta its change against the peer's.
 	Table *ffroute.Table `json:"table,omitempty"`
 	Delta *ffroute.Delta `json:"delta,omitempty"`
@@ -46,31 +51,59 @@
 	}.Encode()
 }
 
-// ContentHandler serves the word to other daemons.
+// ContentHandler serves the word to other daemons. It encodes each change once for
+// all the peers that lack it.
 type ContentHandler struct {
 	State *State
 	Log   zerolog.Logger
+
+	mu sync.Mutex
+	// digest is that of the word whose changes are encoded, by what the peer has.
+	digest  string
+	encoded map[string][]byte
 }
 
 // ServeHTTP sends what the peer lacks.
 func (h *ContentHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	b, err := json.Marshal(h.content(r.URL.Query()))
+	confirmed := h.State.Word().Confirmed
+	b, err := h.encode(r.URL)
 	if err != nil {
 		h.Log.Error().Err(err).Msg("word cannot be encoded")
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(ageHeader, strconv.FormatInt(int64(time.Since(confirmed)), 10))
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	if _, err := w.Write(b); err != nil {
 		h.Log.Info().Err(err).Str("peer", r.RemoteAddr).Msg("word not sent")
 	}
 }
 
+// encode returns the encoded content for a peer that asks with the query of u.
+func (h *ContentHandler) encode(u *url.URL) ([]byte, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, fleet := h.State.Read()
+	read := Word{Table: h.State.Table(), Fleet: fleet}
+	if digest := read.Digest(); digest != h.digest || len(h.encoded) >= recentKept {
+		h.digest = digest
+		h.encoded = make(map[string][]byte)
+	}
+	if b, ok := h.encoded[u.RawQuery]; ok {
+		return b, nil
+	}
+	b, err := json.Marshal(h.content(u.Query()))
+	if err == nil {
+		h.encoded[u.RawQuery] = b
+	}
+	return b, err
+}
+
 func (h *ContentHandler) content(has url.Values) content {
 	word := h.State.Word()
 	revision, fleet := h.State.Read()
-	c := content{Revision: revision, Age: time.Since(word.Confirmed)}
+	c := content{Revision: revision}
 	c.Targets = fleet.All()
 	if digest, err := strconv.ParseUint(has.Get(targetsParameter), 16, 64); err == nil {
 		if base, ok := h.State.list(digest); ok {
--- a/internal/ffgossip/fetch.go
+++ b/internal/ffgossip/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/fffleet"
@@ -40,6 +41,12 @@
 		e.Abort()
 		return nil, err
 	}
+	age, err := strconv.ParseInt(resp.Header.Get(ageHeader), 10, 64)
+	if err != nil {
+		e.Abort()
+		return nil, &Error{Op: "read a word", Kind: KindDecode, Err: err}
+	}
+	c.Age = time.Duration(age)
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		e.Abort()
 		return nil, &Error{Op: "read a word", Kind: KindPull, Err: err}
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -26,6 +27,10 @@
 	pullTimeout = 500 * time.Millisecond
 	// pulls bounds the pulls that wait.
 	pulls = 8
+	// spreadAll is the greatest number of peers that a daemon with news tells all at
+	// once. Of more it tells spreadSome, which tell others in turn.
+	spreadAll  = 16
+	spreadSome = 8
 )
 
 // Node exchanges heartbeats and words with the other daemons.
@@ -51,7 +56,9 @@
 	leaving  atomic.Bool
 	pull     chan netip.Addr
 	next     int
-	sending  sync.Mutex
+	// every is the time between two heartbeats to the same peer, in nanoseconds.
+	every   atomic.Int64
+	sending sync.Mutex
 }
 
 // Run exchanges words until ctx ends.
@@ -77,11 +84,19 @@
 // Leave tells the others that the daemon is about to end.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
-	n.Spread()
+	n.send(n.targets())
 }
 
-// Spread sends a heartbeat to every peer now.
-func (n *Node) Spread() { n.send(n.targets()) }
+// Spread sends a heartbeat to peers now: to all of a small fleet, and to some of a
+// large one, which spread on what is news to them.
+func (n *Node) Spread() {
+	vms := n.targets()
+	if len(vms) > spreadAll {
+		rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+		vms = vms[:spreadSome]
+	}
+	n.send(vms)
+}
 
 // targets returns the other VMs: those with a target, and those heard of.
 func (n *Node) targets() []netip.Addr {
@@ -108,7 +123,9 @@
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
 	for {
-		n.send(n.share(n.targets()))
+		vms := n.targets()
+		n.every.Store(int64(len(vms)) * int64(time.Second) / heartbeatRate)
+		n.send(n.share(vms))
 		select {
 		case <-ctx.Done():
 			return
@@ -136,6 +153,7 @@
 	h := Heartbeat{
 		Name: n.Name, DataCentre: n.DataCentre, Incarnation: n.Incarnation,
 		Sequence: n.sequence.Add(1), Leaving: n.leaving.Load(), Load: n.Load(),
+		Every: max(heartbeatEvery, time.Duration(n.every.Load())),
 	}
 	if !w.Confirmed.IsZero() {
 		h.Revision, h.Age, h.Digest = w.Revision, time.Since(w.Confirmed), n.digest()
@@ -235,5 +253,9 @@
 		n.Log.Warn().Err(err).Stringer("peer", vm).Msg("word not pulled")
 		return
 	}
+	before := n.digest()
 	n.State.Offer(vm.String(), c.Revision, time.Now().Add(-c.Age), c.Table, c.fleet(known))
+	if n.digest() != before {
+		n.Spread()
+	}
 }
--- a/internal/ffgossip/peers.go
+++ b/internal/ffgossip/peers.go
@@ -13,6 +13,8 @@
 type Peer struct {
 	VM    netip.Addr
 	Heard time.Time
+	// Until is when the daemon no longer counts as live.
+	Until time.Time
 	Last  Heartbeat
 }
 
@@ -22,12 +24,8 @@
 	peers map[netip.Addr]*Peer
 }
 
-const (
-	// liveFor is how long a daemon counts as live after a heartbeat.
-	liveFor = 1200 * time.Millisecond
-	// forgetAfter is how long a silent daemon is remembered.
-	forgetAfter = 30 * time.Second
-)
+// forgetAfter is how long a silent daemon is remembered.
+const forgetAfter = 30 * time.Second
 
 // Hear takes up a heartbeat and reports whether it is news of its daemon.
 func (p *Peers) Hear(vm netip.Addr, h Heartbeat, now time.Time) bool {
@@ -40,7 +38,7 @@
 	if ok && known.Last.Incarnation == h.Incarnation && h.Sequence <= known.Last.Sequence {
 		return false
 	}
-	p.peers[vm] = &Peer{VM: vm, Heard: now, Last: h}
+	p.peers[vm] = &Peer{VM: vm, Heard: now, Until: h.SilentAt(now), Last: h}
 	return true
 }
 
@@ -83,7 +81,7 @@
 	order := []place{{self, dataCentre, xxhash.Sum64String(self)}}
 	p.mu.Lock()
 	for _, peer := range p.peers {
-		if now.Sub(peer.Heard) < liveFor && !peer.Last.Leaving && peer.Last.Name != self {
+		if now.Before(peer.Until) && !peer.Last.Leaving && peer.Last.Name != self {
 			order = append(order, place{peer.Last.Name, peer.Last.DataCentre, xxhash.Sum64String(peer.Last.Name)})
 		}
 	}
--- /dev/null
+++ b/internal/ffgossip/spread_test.go
@@ -0,0 +1,71 @@
+package ffgossip_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
+	"fireflyfall.dev/fireflyfall/internal/ffgossip"
+	"fireflyfall.dev/fireflyfall/internal/ffroute"
+)
+
+// TestPlaceOfLargeFleet counts every daemon of a fleet so large that each is heard
+// about once a second, so that only one of them believes to be first.
+func TestPlaceOfLargeFleet(t *testing.T) {
+	const daemons = 80
+	const every = 1250 * time.Millisecond
+	now := time.Now()
+	first := 0
+	for self := range daemons {
+		peers := &ffgossip.Peers{}
+		for i := range daemons {
+			h := ffgossip.Heartbeat{Name: fmt.Sprint("vm-", i), DataCentre: "z", Incarnation: 1, Sequence: 1, Every: every}
+			vm := netip.AddrFrom4([4]byte{10, 0, 0, byte(i)})
+			peers.Hear(vm, h, now.Add(-every*time.Duration(i)/daemons))
+		}
+		if peers.Place(fmt.Sprint("vm-", self), "z", now.Add(beatLate)) == 0 {
+			first++
+		}
+	}
+	if first != 1 {
+		t.Errorf("%d daemons are first in order", first)
+	}
+}
+
+// beatLate is how late a heartbeat may come from a busy daemon.
+const beatLate = 300 * time.Millisecond
+
+// TestContentOnce serves a change alike to every peer that lacks it, with the age
+// of the moment, and the next change after it.
+func TestContentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &ffgossip.State{}
+		offer := func(revision, version uint64) {
+			table := &ffroute.Table{Version: version}
+			table.Index()
+			s.Offer("test", revision, time.Now(), table, fffleet.New([]fffleet.Target{{ID: fmt.Sprint("t", version), Service: "s"}}))
+		}
+		h := &ffgossip.ContentHandler{State: s}
+		get := func() (body, age string) {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, ffgossip.ContentPath+"?version=1&targets=0", http.NoBody))
+			return w.Body.String(), w.Header().Get("Fireflyfall-Age")
+		}
+		offer(1, 1)
+		offer(2, 2)
+		first, firstAge := get()
+		time.Sleep(time.Second)
+		if again, age := get(); again != first || age == firstAge {
+			t.Errorf("got %s of age %s, first %s of age %s", again, age, first, firstAge)
+		}
+		offer(3, 3)
+		if next, _ := get(); next == first {
+			t.Error("a change was not served")
+		}
+	})
+}
--- a/internal/ffhop/error.go
+++ b/internal/ffhop/error.go
@@ -14,7 +14,6 @@
 	KindUnsent              // unsent
 	KindUnacked             // unacknowledged
 	KindBroken              // broken
-	KindSilent              // silent
 )
 
 // Error is a failure of an exchange.
--- a/internal/ffhop/kind_string.go
+++ b/internal/ffhop/kind_string.go
@@ -13,12 +13,11 @@
 	_ = x[KindUnsent-2]
 	_ = x[KindUnacked-3]
 	_ = x[KindBroken-4]
-	_ = x[KindSilent-5]
 }
 
-const _Kind_name = "unknowndialunsentunacknowledgedbrokensilent"
+const _Kind_name = "unknowndialunsentunacknowledgedbroken"
 
-var _Kind_index = [...]uint8{0, 7, 11, 17, 31, 37, 43}
+var _Kind_index = [...]uint8{0, 7, 11, 17, 31, 37}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/ffmesh/call.go
+++ b/internal/ffmesh/call.go
@@ -36,6 +36,9 @@
 	Objective time.Time
 	// Received is when the entry had read the head of the request.
 	Received time.Time
+	// Silent is called when the gate's VM shows no sign in time that it has got the
+	// call. With it the call goes out whole at once, without it only after consent.
+	Silent func()
 }
 
 // longBody is the length from which a body counts as long on a slow link, in bytes.
--- a/internal/ffmeshpeer/client.go
+++ b/internal/ffmeshpeer/client.go
@@ -20,7 +20,7 @@
 	// dialTimeout bounds a connection to another daemon.
 	dialTimeout = 250 * time.Millisecond
 	// signTimeout is how long a gate may take to ask for a call's body, or to show
-	// that it has got a call that may run again. A VM that is frozen, cut off or
+	// that it has got a call that went out whole. A VM that is frozen, cut off or
 	// overrun does not do so in time.
 	signTimeout = 150 * time.Millisecond
 	// idleKept is how long an idle connection to another daemon is kept; the
@@ -96,8 +96,8 @@
 		Method: c.Method, URI: c.URI, Host: c.Host, Header: header,
 		Body: c.Body, Stream: c.Stream, Length: c.Length,
 	}
-	if c.Kind.Idempotent() && c.Stream == nil && !c.Long() {
-		req.Sign = signTimeout
+	if c.Silent != nil {
+		req.Sign, req.Silent = signTimeout, c.Silent
 	} else {
 		req.Consent = signTimeout
 	}
@@ -119,10 +119,7 @@
 		pool.Clear()
 	}
 	var failed *ffhop.Error
-	switch {
-	case errors.As(err, &failed) && failed.Kind == ffhop.KindSilent:
-		return r.failed(ctx, c, ffmesh.OutcomeUnknown, ffmesh.ReasonSilent, err)
-	case failed != nil && failed.Kind != ffhop.KindBroken:
+	if errors.As(err, &failed) && failed.Kind != ffhop.KindBroken {
 		return r.failed(ctx, c, ffmesh.OutcomeNotRun, ffmesh.ReasonSilent, err)
 	}
 	return r.failed(ctx, c, ffmesh.OutcomeUnknown, ffmesh.ReasonBroken, err)
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -113,7 +113,8 @@
 		State: state, Peers: peers, Reader: reader,
 		Load: gate.Load,
 		Heard: func(vm netip.Addr, h ffgossip.Heartbeat) {
-			board.Hear(vm, h.Load, h.Leaving, time.Now())
+			now := time.Now()
+			board.Hear(vm, h.Load, h.Leaving, now, h.SilentAt(now))
 		},
 		Pool: client.Pool,
 		Log:  log,
--- a/internal/ffoutbound/board.go
+++ b/internal/ffoutbound/board.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// silentAfter is how long a VM may send no heartbeat before it is avoided.
-	silentAfter = 900 * time.Millisecond
+	// replyLife is how long a VM counts as live after a reply.
+	replyLife = 900 * time.Millisecond
 	// downFor is how long a VM is avoided that refused a connection.
 	downFor = time.Second
 )
@@ -18,11 +18,12 @@
 // fact is what the entry knows of the gate on one VM.
 type fact struct {
 	load ffmesh.Load
-	// heard is when the last heartbeat came; learned when load was last told.
-	heard   time.Time
-	learned time.Time
-	down    time.Time
-	leaving bool
+	// silentAt is when the VM counts as silent unless it is heard again; learned is
+	// when load was last told.
+	silentAt time.Time
+	learned  time.Time
+	down     time.Time
+	leaving  bool
 	// open counts our calls there; since counts those that began after learned, and
 	// sent the bytes of their long bodies.
 	open  int
@@ -48,13 +49,13 @@
 	return f
 }
 
-// Hear takes up a heartbeat.
-func (b *Board) Hear(vm netip.Addr, load ffmesh.Load, leaving bool, now time.Time) {
+// Hear takes up a heartbeat; the VM counts as silent from silentAt on.
+func (b *Board) Hear(vm netip.Addr, load ffmesh.Load, leaving bool, now, silentAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	f := b.of(vm)
 	f.load, f.leaving = load, leaving
-	f.heard, f.learned = now, now
+	f.learned, f.silentAt = now, silentAt
 	f.since, f.sent = 0, 0
 }
 
@@ -64,6 +65,9 @@
 	defer b.mu.Unlock()
 	f := b.of(vm)
 	f.load, f.learned = load, now
+	if until := now.Add(replyLife); !f.silentAt.IsZero() && f.silentAt.Before(until) {
+		f.silentAt = until
+	}
 	f.down = time.Time{}
 	f.since, f.sent = 0, 0
 }
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -149,7 +149,7 @@
 func (p *Picker) avoidance(t fffleet.Target, f *fact, now time.Time) time.Duration {
 	var cost time.Duration
 	if t.VM() != p.Place.VM {
-		if now.Before(f.down) || !f.heard.IsZero() && now.Sub(f.heard) > silentAfter {
+		if now.Before(f.down) || !f.silentAt.IsZero() && now.After(f.silentAt) {
 			cost += avoidedCost
 		}
 		if f.leaving {
--- a/internal/ffoutbound/race.go
+++ b/internal/ffoutbound/race.go
@@ -39,18 +39,30 @@
 func (r *run) race(ctx context.Context, t fffleet.Target) *ffmesh.Reply {
 	ctx, cancel := context.WithCancel(ctx)
 	replies := make(chan *ffmesh.Reply, 2)
-	offer := func(t fffleet.Target) { replies <- r.handler.offer(ctx, t, r.call) }
+	silent := make(chan struct{}, 2)
+	offer := func(t fffleet.Target) {
+		c := *r.call
+		c.Silent = r.onSilence(t, silent)
+		replies <- r.handler.offer(ctx, t, &c)
+	}
 	go offer(t)
 	timer := time.NewTimer(r.hedgeDelay(t))
 	defer timer.Stop()
 	var last *ffmesh.Reply
+	hedge := func() (more int) {
+		second, ok := r.second()
+		if !ok {
+			return 0
+		}
+		go offer(second)
+		return 1
+	}
 	for open := 1; open > 0; {
 		select {
 		case <-timer.C:
-			if second, ok := r.second(); ok {
-				open++
-				go offer(second)
-			}
+			open += hedge()
+		case <-silent:
+			open += hedge()
 		case reply := <-replies:
 			open--
 			last = better(last, reply)
@@ -67,6 +79,20 @@
 	return last
 }
 
+// onSilence returns what to do when the VM of t shows no sign, or nil when a call
+// had better not go there before the VM has asked for it.
+func (r *run) onSilence(t fffleet.Target, silent chan<- struct{}) func() {
+	board := r.handler.Picker.Board
+	f := board.get(t.VM())
+	if now := time.Now(); r.call.Long() || now.Before(f.down) || now.After(f.silentAt) {
+		return nil
+	}
+	return func() {
+		board.fail(t.VM(), time.Now())
+		silent <- struct{}{}
+	}
+}
+
 // better returns the reply of two that says more.
 func better(a, b *ffmesh.Reply) *ffmesh.Reply {
 	if a == nil || b.Outcome == ffmesh.OutcomeRan && (a.Outcome != ffmesh.OutcomeRan || a.Status >= 500) {
--- a/internal/ffprocess/process.go
+++ b/internal/ffprocess/process.go
@@ -56,6 +56,9 @@
 // Wake lets a frozen process go on.
 func (p *Process) Wake() error { return p.signal("wake", syscall.SIGCONT) }
 
+// Hangup sends the process SIGHUP.
+func (p *Process) Hangup() error { return p.signal("hang up", syscall.SIGHUP) }
+
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() error {
 	err := p.signal("kill", syscall.SIGKILL)
