Repeats use more of the fleet's budget and leave a part to calls of higher rank

Entries now spend 0.8 of the budget; calls of a service's last rank use half of that at most. What calls of repeated runs add stays within the rest. Test: TestBudgetRanks, red without the part.

--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -1,6 +1,7 @@
 package ffoutbound
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -10,7 +11,10 @@
 	budgetParts = 20
 	// budgetUse is the part of the fleet's budget that entries spend, since calls
 	// of repeated runs count as repeats too.
-	budgetUse = 0.5
+	budgetUse = 0.8
+	// lastRankUse is the part of that for calls of a service's last rank, so that
+	// they do not use up what those before them need.
+	lastRankUse = 0.5
 )
 
 // Allowance is the fleet's budget for repeats of the requests for one service.
@@ -32,6 +36,8 @@
 
 // spending counts requests and repeats in the parts of the window.
 type spending struct {
+	// first and last bound the ranks of the calls seen, 0 being the highest.
+	first, last int
 	parts [budgetParts]struct {
 		number            int64
 		requests, repeats float64
@@ -52,7 +58,7 @@
 	}
 	s, ok := b.services[service]
 	if !ok {
-		s = &spending{}
+		s = &spending{first: math.MaxInt}
 		b.services[service] = s
 	}
 	number = now.UnixNano() / max(int64(b.allowance.Window)/budgetParts, 1)
@@ -62,16 +68,17 @@
 	return s, number
 }
 
-// Request counts a request for a service.
-func (b *Budget) Request(service string, now time.Time) {
+// Request counts a request of a rank for a service.
+func (b *Budget) Request(service string, rank int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, number := b.part(service, now)
+	s.first, s.last = min(s.first, rank), max(s.last, rank)
 	s.parts[number%budgetParts].requests++
 }
 
 // Repeat takes one repeat out of the budget and reports whether there was one.
-func (b *Budget) Repeat(service string, now time.Time) bool {
+func (b *Budget) Repeat(service string, rank int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, number := b.part(service, now)
@@ -83,6 +90,9 @@
 		}
 	}
 	most := budgetUse * (b.allowance.Ratio*requests + b.allowance.Slack/float64(max(b.entries, 1)))
+	if s.first < s.last && rank == s.last {
+		most *= lastRankUse
+	}
 	if repeats+1 > most {
 		return false
 	}
--- a/internal/ffoutbound/decision_test.go
+++ b/internal/ffoutbound/decision_test.go
@@ -24,10 +24,10 @@
 		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
 		for i := range all {
 			if tick%10 == 0 {
-				all[i].Request("s", now)
+				all[i].Request("s", 0, now)
 				requests = append(requests, now)
 			}
-			if all[i].Repeat("s", now) {
+			if all[i].Repeat("s", 0, now) {
 				repeats = append(repeats, now)
 			}
 		}
@@ -51,6 +51,32 @@
 	}
 }
 
+// TestBudgetRanks leaves a part of the budget to the calls of higher rank when
+// those of the last rank use theirs up.
+func TestBudgetRanks(t *testing.T) {
+	var b ffoutbound.Budget
+	b.Set(ffoutbound.Allowance{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, 1)
+	now := time.Unix(1000, 0)
+	const first, last = 1, 2
+	for range 100 {
+		b.Request("s", first, now)
+		b.Request("s", last, now)
+	}
+	spend := func(rank int) (n int) {
+		for b.Repeat("s", rank, now) {
+			n++
+		}
+		return n
+	}
+	ofLast, ofFirst := spend(last), spend(first)
+	if ofLast == 0 || ofFirst < ofLast {
+		t.Errorf("%d repeats of the last rank left %d to the first", ofLast, ofFirst)
+	}
+	if all := ofLast + ofFirst; all > 50 {
+		t.Errorf("%d repeats of 50", all)
+	}
+}
+
 func vm(n byte) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, n}) }
 
 func targets() fffleet.Fleet {
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -34,7 +34,7 @@
 
 // do sends the request to targets until one answers or nothing more may be tried.
 func (r *run) do(ctx context.Context) {
-	r.handler.Budget.Request(r.call.Service, time.Now())
+	r.handler.Budget.Request(r.call.Service, r.call.Priority, time.Now())
 	for r.offers < maxOffers && ctx.Err() == nil {
 		if !r.pick() {
 			return
@@ -117,7 +117,7 @@
 		return "mayHaveRun"
 	case r.reply.Arrived && r.arrivals >= max(r.route.Attempts, 1):
 		return "attemptsSpent"
-	case r.reply.Arrived && !r.handler.Budget.Repeat(r.call.Service, time.Now()):
+	case r.reply.Arrived && !r.handler.Budget.Repeat(r.call.Service, r.call.Priority, time.Now()):
 		return "budgetSpent"
 	}
 	return "repeat"
