--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -13,7 +13,7 @@
 const (
 	// firstAge is the age at which the first daemon in order reads again, readAge
 	// that of the second, and readStep what each further one waits longer.
-	firstAge = 100 * time.Millisecond
+	firstAge = 250 * time.Millisecond
 	readAge  = 750 * time.Millisecond
 	readStep = 150 * time.Millisecond
 	// maxReadAge is the age at which every daemon reads, whatever its place.
