--- a/internal/ffgossip/heartbeat.go
+++ b/internal/ffgossip/heartbeat.go
@@ -6,22 +6,24 @@
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 )
 
-// Heartbeat is what a daemon tells the others several times a second.
+// Heartbeat is what a daemon tells the others several times a second. Its fields
+// travel in their order, without names.
 type Heartbeat struct {
-	Name       string `json:"name"`
-	DataCentre string `json:"dataCentre"`
+	_          struct{} `cbor:",toarray"`
+	Name       string
+	DataCentre string
 	// Incarnation differs between two lives of a daemon.
-	Incarnation uint64 `json:"incarnation"`
-	Sequence    uint64 `json:"sequence"`
+	Incarnation uint64
+	Sequence    uint64
 	// Every is the time until the next heartbeat to the same peer.
-	Every time.Duration `json:"every,omitempty"`
+	Every time.Duration
 	// Leaving tells that the daemon is about to end.
-	Leaving  bool        `json:"leaving,omitempty"`
-	Load     ffmesh.Load `json:"load"`
-	Revision uint64      `json:"revision"`
+	Leaving  bool
+	Load     ffmesh.Load
+	Revision uint64
 	// Age is the age of the word when the heartbeat was sent.
-	Age    time.Duration `json:"age"`
-	Digest string        `json:"digest"`
+	Age    time.Duration
+	Digest string
 }
 
 const (
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -10,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"fireflyfall.dev/fireflyfall/internal/ffhop"
@@ -172,7 +172,7 @@
 func (n *Node) send(vms []netip.Addr) {
 	n.sending.Lock()
 	defer n.sending.Unlock()
-	b, err := json.Marshal(n.heartbeat())
+	b, err := cbor.Marshal(n.heartbeat())
 	if err != nil {
 		n.Log.Error().Err(err).Msg("heartbeat cannot be encoded")
 		return
@@ -205,7 +205,7 @@
 
 func (n *Node) hear(vm netip.Addr, b []byte) {
 	var h Heartbeat
-	if err := json.Unmarshal(b, &h); err != nil {
+	if err := cbor.Unmarshal(b, &h); err != nil {
 		n.Log.Warn().Err(err).Stringer("peer", vm).Msg("unreadable heartbeat")
 		return
 	}
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -301,7 +301,7 @@
 		Queued:  len(g.queue.waiting),
 		Slots:   target.Slots,
 		Typical: g.times.faded(now),
-		Failing: g.times.failures(now),
+		Failing: float32(g.times.failures(now)),
 		Closed:  g.closed || !ok || target.State == fffleet.StateDraining,
 	}
 	if g.Intake != nil {
--- a/internal/ffmesh/reply.go
+++ b/internal/ffmesh/reply.go
@@ -59,22 +59,24 @@
 	Load    Load
 }
 
-// Load is what a gate knows of its target at one moment.
+// Load is what a gate knows of its target at one moment. Its fields travel in
+// their order, without names.
 type Load struct {
-	Target  string `json:"target"`
-	Running int    `json:"running"`
-	Queued  int    `json:"queued"`
-	Slots   int    `json:"slots"`
+	_       struct{} `cbor:",toarray"`
+	Target  string
+	Running int
+	Queued  int
+	Slots   int
 	// Typical is the mean service time.
-	Typical time.Duration `json:"typical"`
+	Typical time.Duration
 	// Intake is the time that long bodies on their way to this VM still take, and
 	// Link what its link carries, in bytes a second; 0 when it is not known.
-	Intake time.Duration `json:"intake,omitempty"`
-	Link   int64         `json:"link,omitempty"`
+	Intake time.Duration
+	Link   int64
 	// Failing is the recent share of calls that the target failed, 0 to 1.
-	Failing float64 `json:"failing"`
+	Failing float32
 	// Closed tells that the gate takes no calls.
-	Closed bool `json:"closed"`
+	Closed bool
 }
 
 // Gate runs calls at one target.
--- a/internal/ffmeshpeer/client.go
+++ b/internal/ffmeshpeer/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -136,7 +135,7 @@
 
 func (r remote) reply(ctx context.Context, c *ffmesh.Call, pool *ffhop.Pool, e *ffhop.Exchange, resp *http.Response) *ffmesh.Reply {
 	var head replyHead
-	if err := json.Unmarshal([]byte(resp.Header.Get(replyHeader)), &head); err != nil {
+	if err := decode(resp.Header.Get(replyHeader), &head); err != nil {
 		e.Abort()
 		return r.failed(ctx, c, ffmesh.OutcomeUnknown, ffmesh.ReasonSpoiled, err)
 	}
--- a/internal/ffmeshpeer/head.go
+++ b/internal/ffmeshpeer/head.go
@@ -1,9 +1,11 @@
 package ffmeshpeer
 
 import (
-	"encoding/json"
+	"encoding/base64"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 	"fireflyfall.dev/fireflyfall/internal/ffroute"
 )
@@ -14,28 +16,43 @@
 	replyHeader = "Fireflyfall-Reply"
 )
 
+// encode returns a head as the value of a header.
+func encode(head any) (string, error) {
+	b, err := cbor.Marshal(head)
+	return base64.RawStdEncoding.EncodeToString(b), err
+}
+
+// decode reads the value of a header into head.
+func decode(value string, head any) error {
+	b, err := base64.RawStdEncoding.DecodeString(value)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(b, head)
+}
+
 // callHead is what a gate must know of a call beside the request itself. Times
 // are what was left when it was sent.
 type callHead struct {
-	ID       string       `json:"id"`
-	Origin   string       `json:"origin"`
-	Service  string       `json:"service"`
-	Target   string       `json:"target"`
-	Kind     ffroute.Kind `json:"kind"`
-	Priority int          `json:"priority"`
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Origin   string
+	Service  string
+	Target   string
+	Kind     ffroute.Kind
+	Priority int
 	// Length is the length of the body in bytes; -1 when it is not known.
-	Length    int64         `json:"length"`
-	Left      time.Duration `json:"left"`
-	Objective time.Duration `json:"objective"`
-	Elapsed   time.Duration `json:"elapsed"`
+	Length    int64
+	Left      time.Duration
+	Objective time.Duration
+	Elapsed   time.Duration
 }
 
 func headOf(c *ffmesh.Call, now time.Time) (string, error) {
-	b, err := json.Marshal(callHead{
+	return encode(callHead{
 		ID: c.ID, Origin: c.Origin, Service: c.Service, Target: c.Target, Kind: c.Kind, Priority: c.Priority,
 		Length: c.Length, Left: c.Deadline.Sub(now), Objective: c.Objective.Sub(now), Elapsed: now.Sub(c.Received),
 	})
-	return string(b), err
 }
 
 // call returns the call that h describes.
@@ -48,20 +65,20 @@
 
 // replyHead is what an entry must know of a reply beside the answer itself.
 type replyHead struct {
-	Outcome ffmesh.Outcome `json:"outcome"`
-	Reason  ffmesh.Reason  `json:"reason"`
-	Status  int            `json:"status"`
-	Arrived bool           `json:"arrived"`
-	RetryIn time.Duration  `json:"retryIn"`
-	Load    ffmesh.Load    `json:"load"`
+	_       struct{} `cbor:",toarray"`
+	Outcome ffmesh.Outcome
+	Reason  ffmesh.Reason
+	Status  int
+	Arrived bool
+	RetryIn time.Duration
+	Load    ffmesh.Load
 }
 
 func replyHeadOf(r *ffmesh.Reply) (string, error) {
-	b, err := json.Marshal(replyHead{
+	return encode(replyHead{
 		Outcome: r.Outcome, Reason: r.Reason, Status: r.Status,
 		Arrived: r.Arrived, RetryIn: r.RetryIn, Load: r.Load,
 	})
-	return string(b), err
 }
 
 // reply returns the reply that h describes, without its answer.
--- a/internal/ffmeshpeer/server.go
+++ b/internal/ffmeshpeer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,7 +34,7 @@
 // ServeHTTP runs one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var head callHead
-	if err := json.Unmarshal([]byte(r.Header.Get(callHeader)), &head); err != nil {
+	if err := decode(r.Header.Get(callHeader), &head); err != nil {
 		h.Log.Warn().Err(err).Str("peer", r.RemoteAddr).Msg("call without a readable head")
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -121,7 +121,7 @@
 	wait = time.Duration(max(outstanding+1-slots, 0)) * typical / time.Duration(slots)
 	used := min(float64(outstanding)/float64(slots), 1)
 	cost = wait + typical + time.Duration(crowding*used*used*float64(typical))
-	cost += time.Duration(f.load.Failing * float64(failingCost))
+	cost += time.Duration(float64(f.load.Failing) * float64(failingCost))
 	cost = time.Duration(float64(cost) * (1 + noise*rand.Float64()))
 	return cost + p.way(t, c) + p.link(t, f, c) + p.avoidance(t, f, now), wait
 }
