--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -14,7 +14,7 @@
 	unknownTypical = 60 * time.Millisecond
 	// Costs of the way to another VM, and of bytes to another data centre.
 	sameCentreCost  = 500 * time.Microsecond
-	otherCentreCost = 10 * time.Millisecond
+	otherCentreCost = 25 * time.Millisecond
 	crossByteCost   = 8 * time.Microsecond
 	// failingCost is the cost of a target that fails every call.
 	failingCost = 600 * time.Millisecond
