A fault soak of the mesh: real daemons, stand-ins of the platform, faults from outside

fireflyload mesh-soak starts daemons as processes against the stand-ins of store and targets, with relays on the links to both; it kills, stops, freezes and hangs up processes, cuts, slows and silences links, lets targets leave and publishes versions, in series that overlap, drawn from a seed. Clients keep their connections until the process is gone. Nine promises are judged from what clients and targets saw. The words of the platform stay in platform/ffstandin. Not harmed: the links between daemons, but by stops and freezes; clocks. Tests: TestJudge breaks each promise in a record, TestDraw, TestSeeds.

--- a/internal/ffload/main.go
+++ b/internal/ffload/main.go
@@ -22,6 +22,7 @@
 	Experiment *Experiment `arg:"subcommand:experiment" help:"measure the product against a baseline and print one JSON line"`
 	Report     *Report     `arg:"subcommand:report" help:"draw one page with plots from the JSON lines of experiments"`
 	Soak       *Soak       `arg:"subcommand:soak" help:"run a deployment under load and faults, and judge every promise"`
+	MeshSoak   *MeshSoak   `arg:"subcommand:mesh-soak" help:"the same for daemons on the users' platform, with stand-ins of it"`
 }
 
 // Description returns what the help says of the program.
--- /dev/null
+++ b/internal/ffload/meshsoak.go
@@ -0,0 +1,74 @@
+package ffload
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmeshsoak"
+	"fireflyfall.dev/fireflyfall/internal/ffprocess"
+)
+
+// MeshSoak soaks daemons of a mesh, as real processes, with one seed after the other.
+type MeshSoak struct {
+	Seed  uint64        `arg:"--seed" default:"1" help:"first seed of faults and requests"`
+	Seeds int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	For   time.Duration `arg:"--for" default:"18s" help:"least length of the load of each seed"`
+	VMs   int           `arg:"--vms" default:"5" help:"number of VMs, each with one daemon"`
+}
+
+// meshReport is what a soak with one seed showed.
+type meshReport struct {
+	Seed     uint64   `json:"seed"`
+	Requests int      `json:"requests"`
+	Served   int      `json:"served"`
+	Events   int      `json:"events"`
+	Broken   []string `json:"broken"`
+}
+
+// Run prints one JSON line for each seed, and fails when a promise is broken.
+func (c *MeshSoak) Run(ctx context.Context, out io.Writer) error {
+	directory, err := os.MkdirTemp("", "fireflyfall-mesh-")
+	if err != nil {
+		return &Error{Op: "soak a mesh", Kind: KindFile, Err: err}
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	binaries := &ffprocess.Binaries{Directory: directory}
+	program, err := binaries.Path(ctx, "fireflyfall")
+	if err != nil {
+		return err
+	}
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
+		rec, err := ffmeshsoak.Run(ctx, ffmeshsoak.Options{Program: program, Directory: directory, Seed: seed, For: c.For, VMs: c.VMs})
+		if err != nil {
+			return err
+		}
+		report := newMeshReport(rec)
+		broken += len(report.Broken)
+		if err := json.NewEncoder(out).Encode(report); err != nil {
+			return err
+		}
+	}
+	if broken > 0 {
+		return &Error{Op: "soak a mesh", Kind: KindBroken, Err: merry.Errorf("promises broken %d times", broken)}
+	}
+	return nil
+}
+
+func newMeshReport(rec *ffmeshsoak.Record) meshReport {
+	r := meshReport{Seed: rec.Seed, Requests: len(rec.Attempts), Events: len(rec.Happenings), Broken: []string{}}
+	for _, a := range rec.Attempts {
+		if a.Signer != "" {
+			r.Served++
+		}
+	}
+	for _, b := range ffmeshsoak.Judge(rec) {
+		r.Broken = append(r.Broken, b.Promise.String()+": "+b.What)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/ffmeshsoak/soak_test.go
@@ -0,0 +1,54 @@
+package ffmeshsoak_test
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmeshsoak"
+	"fireflyfall.dev/fireflyfall/internal/ffprocess"
+)
+
+const (
+	// soakTime is the length of each soak here; longer ones are run by hand.
+	soakTime = 18 * time.Second
+	soakVMs  = 5
+)
+
+// TestSeeds soaks a mesh with each seed of testdata/seeds: one for every run, and
+// each seed that ever failed.
+func TestSeeds(t *testing.T) {
+	binaries := &ffprocess.Binaries{Directory: t.TempDir()}
+	program, err := binaries.Path(t.Context(), "fireflyfall")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.Open("testdata/seeds")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		var seed uint64
+		if text := lines.Text(); strings.HasPrefix(text, "#") {
+			continue
+		} else if _, err := fmt.Sscan(text, &seed); err != nil {
+			t.Fatalf("%q: %v", text, err)
+		}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rec, err := ffmeshsoak.Run(t.Context(), ffmeshsoak.Options{
+				Program: program, Directory: t.TempDir(), Seed: seed, For: soakTime, VMs: soakVMs,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range ffmeshsoak.Judge(rec) {
+				t.Errorf("%v: %s", b.Promise, b.What)
+			}
+			t.Logf("%d requests, %d events", len(rec.Attempts), len(rec.Happenings))
+		})
+	}
+}
