A test that finds the cause of three kinds of failed request in the logs of real daemons

What the logs name is compared with what the targets saw. No product code changed; gofumpt of budget.go.

--- a/internal/ffmeshsoak/fleet.go
+++ b/internal/ffmeshsoak/fleet.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffprocess"
@@ -37,8 +38,10 @@
 	server  *httptest.Server
 	group   ffprocess.Group
 	program string
-	dir     string
-	vms     []*vm
+	// behave says what every target does with a request.
+	behave atomic.Pointer[func(*http.Request) ffstandin.Behaviour]
+	dir    string
+	vms    []*vm
 
 	mu      sync.Mutex
 	version int
@@ -65,6 +68,7 @@
 // newFleet starts the stand-ins and n VMs, each on a loopback address of its own.
 func newFleet(program, dir string, n int) (*fleet, error) {
 	f := &fleet{program: program, dir: dir}
+	f.setBehaviour(func(*http.Request) ffstandin.Behaviour { return ffstandin.Behaviour{Work: work} })
 	f.server = httptest.NewServer(&f.store)
 	f.publish()
 	ports, err := freePorts()
@@ -81,6 +85,8 @@
 	return f, nil
 }
 
+func (f *fleet) setBehaviour(b func(*http.Request) ffstandin.Behaviour) { f.behave.Store(&b) }
+
 // Ports that every VM uses, the same on all of them.
 const (
 	portCallers = iota
@@ -139,7 +145,7 @@
 	f.mu.Lock()
 	f.born++
 	id := fmt.Sprint("i-", v.place.Name, "-", f.born)
-	t := &ffstandin.Target{ID: id, Behave: func(*http.Request) ffstandin.Behaviour { return ffstandin.Behaviour{Work: work} }}
+	t := &ffstandin.Target{ID: id, Behave: func(r *http.Request) ffstandin.Behaviour { return (*f.behave.Load())(r) }}
 	f.targets = append(f.targets, t)
 	born := int64(f.born)
 	f.mu.Unlock()
--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -38,7 +38,7 @@
 type spending struct {
 	// first and last bound the ranks of the calls seen, 0 being the highest.
 	first, last int
-	parts [budgetParts]struct {
+	parts       [budgetParts]struct {
 		number            int64
 		requests, repeats float64
 	}
