--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,6 +42,8 @@
 	Place func() int
 	// Spread is called after each read; it may be nil.
 	Spread func()
+	// Reads and Failures count the reads that were answered and those that failed.
+	Reads, Failures atomic.Int64
 
 	failures int
 	notUntil time.Time
@@ -149,12 +152,14 @@
 // note keeps the pause after failures, and logs a lost and a regained store.
 func (r *Reader) note(err error) {
 	if err == nil {
+		r.Reads.Add(1)
 		if r.failures > 0 {
 			r.Log.Info().Int("failures", r.failures).Msg("store regained")
 		}
 		r.failures = 0
 		return
 	}
+	r.Failures.Add(1)
 	r.failures++
 	pause := min(minBackoff<<min(r.failures-1, 4), maxBackoff)
 	pause = pause/2 + time.Duration(rand.Int64N(int64(pause)))
--- /dev/null
+++ b/internal/ffnode/metrics.go
@@ -0,0 +1,57 @@
+package ffnode
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"fireflyfall.dev/fireflyfall/internal/ffgossip"
+	"fireflyfall.dev/fireflyfall/internal/ffinbound"
+	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
+)
+
+// reading is a figure that is read when the metrics are asked for.
+type reading struct {
+	name, help string
+	value      func() float64
+}
+
+// provideRegistry registers what tells the state of the daemon at any moment.
+func provideRegistry(state *ffgossip.State, reader *ffgossip.Reader, gate *ffinbound.Gate, budget *ffoutbound.Budget) (*prometheus.Registry, error) {
+	r := prometheus.NewRegistry()
+	all := []prometheus.Collector{collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})}
+	for _, g := range []reading{
+		{"fireflyfall_word_age_seconds", "Age of what the store was last known to say.", func() float64 { return wordAge(state) }},
+		{"fireflyfall_word_version", "Version of the configuration in force.", func() float64 { return float64(state.Word().Version()) }},
+		{"fireflyfall_targets", "Targets in use.", func() float64 { return float64(state.Fleet().Len()) }},
+		{"fireflyfall_gate_running", "Calls at the target.", func() float64 { return float64(gate.Load().Running) }},
+		{"fireflyfall_gate_queued", "Calls that wait for a slot.", func() float64 { return float64(gate.Load().Queued) }},
+		{"fireflyfall_gate_service_seconds", "Mean service time of the target.", func() float64 { return gate.Load().Typical.Seconds() }},
+		{"fireflyfall_gate_intake_seconds", "Time that long bodies on their way still take.", func() float64 { return gate.Load().Intake.Seconds() }},
+		{"fireflyfall_repeats_left", "Repeats that the budget still has for the service that has least.", func() float64 { return budget.Left(time.Now()) }},
+	} {
+		all = append(all, prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.name, Help: g.help}, g.value))
+	}
+	for _, c := range []reading{
+		{"fireflyfall_store_reads_total", "Calls to the store that were answered.", func() float64 { return float64(reader.Reads.Load()) }},
+		{"fireflyfall_store_failures_total", "Calls to the store that failed.", func() float64 { return float64(reader.Failures.Load()) }},
+	} {
+		all = append(all, prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help}, c.value))
+	}
+	for _, c := range all {
+		if err := r.Register(c); err != nil {
+			return nil, &Error{Op: "register metrics", Kind: KindMetrics, Err: err}
+		}
+	}
+	return r, nil
+}
+
+// wordAge returns the age of the word in seconds; -1 when there is none.
+func wordAge(state *ffgossip.State) float64 {
+	confirmed := state.Word().Confirmed
+	if confirmed.IsZero() {
+		return -1
+	}
+	return time.Since(confirmed).Seconds()
+}
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 
 	"fireflyfall.dev/fireflyfall/internal/ffgossip"
@@ -67,12 +66,6 @@
 	return b
 }
 
-func provideRegistry() *prometheus.Registry {
-	r := prometheus.NewRegistry()
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return r
-}
-
 func provideMetrics(r *prometheus.Registry) (*ffoutbound.Metrics, error) {
 	m, err := ffoutbound.NewMetrics(r)
 	if err != nil {
--- a/internal/ffnode/wire_gen.go
+++ b/internal/ffnode/wire_gen.go
@@ -27,14 +27,17 @@
 	board := &ffoutbound.Board{}
 	picker := providePicker(s, board)
 	budget := provideBudget(s)
-	registry := provideRegistry()
+	reader := provideReader(source, state, log)
+	registry, err := provideRegistry(state, reader, gate, budget)
+	if err != nil {
+		return nil, err
+	}
 	metrics, err := provideMetrics(registry)
 	if err != nil {
 		return nil, err
 	}
 	handler := provideHandler(pointer, memory, state, ffnodeGates, dialect, picker, budget, metrics, log)
 	peers := &ffgossip.Peers{}
-	reader := provideReader(source, state, log)
 	node := provideNode(s, state, peers, reader, gate, board, client, log)
 	ffnodeNode := &Node{
 		Settings: pointer,
--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -82,14 +82,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, number := b.part(service, now)
-	var requests, repeats float64
-	for _, p := range s.parts {
-		if number-p.number < budgetParts {
-			requests += p.requests
-			repeats += p.repeats
-		}
-	}
-	most := budgetUse * (b.allowance.Ratio*requests + b.allowance.Slack/float64(max(b.entries, 1)))
+	most, repeats := b.window(s, number)
 	if s.first < s.last && rank == s.last {
 		most *= lastRankUse
 	}
@@ -99,3 +92,33 @@
 	s.parts[number%budgetParts].repeats++
 	return true
 }
+
+// window returns the repeats that the window allows for a service, and those that
+// were spent in it. The caller holds the lock.
+func (b *Budget) window(s *spending, number int64) (most, repeats float64) {
+	var requests float64
+	for _, p := range s.parts {
+		if number-p.number < budgetParts {
+			requests += p.requests
+			repeats += p.repeats
+		}
+	}
+	return budgetUse * (b.allowance.Ratio*requests + b.allowance.Slack/float64(max(b.entries, 1))), repeats
+}
+
+// Left returns the repeats that are left for the service that has least, or all of
+// the slack's share while none is known.
+func (b *Budget) Left(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	least := math.Inf(1)
+	for service := range b.services {
+		s, number := b.part(service, now)
+		most, repeats := b.window(s, number)
+		least = min(least, most-repeats)
+	}
+	if math.IsInf(least, 1) {
+		return budgetUse * b.allowance.Slack / float64(max(b.entries, 1))
+	}
+	return least
+}
