--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -23,8 +23,6 @@
 	readTimeout = 900 * time.Millisecond
 	// watchWait is how long a call waits for the first change.
 	watchWait = 450 * time.Millisecond
-	// startSpread is the time over which daemons that start together begin to read.
-	startSpread = 150 * time.Millisecond
 	// readTick is the interval of looks at the age of the word.
 	readTick = 40 * time.Millisecond
 	// Pauses after a failed call.
@@ -53,10 +51,8 @@
 	lost     bool
 }
 
-// run reads until ctx ends. It begins a little later than others that start at the
-// same moment, or before, so that most have the word of a peer by then.
+// run reads until ctx ends.
 func (r *Reader) run(ctx context.Context) {
-	r.notUntil = time.Now().Add(rand.N(startSpread))
 	ticker := time.NewTicker(readTick)
 	defer ticker.Stop()
 	for {
