--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -12,9 +12,11 @@
 	// budgetUse is the part of the fleet's budget that entries spend, since calls
 	// of repeated runs count as repeats too.
 	budgetUse = 0.8
-	// lastRankUse is the part of that for calls of a service's last rank, so that
-	// they do not use up what those before them need.
+	// lastRankUse is the part of that for calls of a service's last rank, and firstUse
+	// that for others, so that they do not use up what clients that return need: a
+	// client that is refused comes back once, which is no repeat.
 	lastRankUse = 0.5
+	firstUse    = 0.7
 )
 
 // Allowance is the fleet's budget for repeats of the requests for one service.
@@ -77,14 +79,19 @@
 	s.parts[number%budgetParts].requests++
 }
 
-// Repeat takes one repeat out of the budget and reports whether there was one.
-func (b *Budget) Repeat(service string, rank int, now time.Time) bool {
+// Repeat takes one repeat of a call of a rank out of the budget and reports whether
+// there was one. All of it is open to clients that return.
+func (b *Budget) Repeat(service string, rank int, returns bool, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, number := b.part(service, now)
 	most, repeats := b.window(s, number)
-	if s.first < s.last && rank == s.last {
+	switch {
+	case returns:
+	case s.first < s.last && rank == s.last:
 		most *= lastRankUse
+	default:
+		most *= firstUse
 	}
 	if repeats+1 > most {
 		return false
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -35,6 +35,8 @@
 	// discardTime and discardBytes bound what is read of a body that was refused.
 	discardTime  = time.Second
 	discardBytes = 64 << 20
+	// returnSlack is how much of its time a client has used at least that asks again.
+	returnSlack = 10 * time.Millisecond
 	// defaultWait is how long a client waits that does not say.
 	defaultWait = 30 * time.Second
 )
@@ -103,6 +105,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	run := &run{handler: h, call: c, route: route, table: table, tried: make(map[string]bool)}
+	run.returns = c.Objective.Before(received.Add(route.Objective - returnSlack))
 	run.do(ctx)
 	if r.Context().Err() != nil {
 		h.Metrics.Done(route.Kind, "clientLeft", time.Since(received))
--- a/internal/ffoutbound/race.go
+++ b/internal/ffoutbound/race.go
@@ -116,7 +116,7 @@
 		return fffleet.Target{}, false
 	}
 	choice, ok := h.Picker.Pick(h.Words.Fleet(), r.call, r.tried, now)
-	if !ok || choice.Wait > 0 || choice.Cost > time.Until(r.call.Deadline) || !h.Budget.Repeat(r.call.Service, r.call.Priority, now) {
+	if !ok || choice.Wait > 0 || choice.Cost > time.Until(r.call.Deadline) || !h.Budget.Repeat(r.call.Service, r.call.Priority, r.returns, now) {
 		return fffleet.Target{}, false
 	}
 	r.hedged = true
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -27,6 +27,8 @@
 	answer *ffmesh.Reply
 	// hedged tells that a second target was asked beside a slow first one.
 	hedged bool
+	// returns tells that the client was refused before and asks again.
+	returns bool
 	// maybe tells that the request may have run although no answer came.
 	maybe   bool
 	retryIn time.Duration
@@ -117,7 +119,7 @@
 		return "mayHaveRun"
 	case r.reply.Arrived && r.arrivals >= max(r.route.Attempts, 1):
 		return "attemptsSpent"
-	case r.reply.Arrived && !r.handler.Budget.Repeat(r.call.Service, r.call.Priority, time.Now()):
+	case r.reply.Arrived && !r.handler.Budget.Repeat(r.call.Service, r.call.Priority, r.returns, time.Now()):
 		return "budgetSpent"
 	}
 	return "repeat"
