A call without a body takes no memory for one

A call without a body that waits for consent travels as a chunked one of unknown length, and room for the longest body was taken for it: 28 at once filled a daemon of 112 MB. The length in the call's head counts now. ServeHTTP of the peer is split.

--- a/internal/ffmesh/memory.go
+++ b/internal/ffmesh/memory.go
@@ -1,10 +1,6 @@
 package ffmesh
 
-import (
-	"net/http"
-
-	"golang.org/x/sync/semaphore"
-)
+import "golang.org/x/sync/semaphore"
 
 // Memory bounds the bytes of bodies that are held at once. A nil Memory has no bound.
 type Memory struct{ free *semaphore.Weighted }
@@ -14,10 +10,11 @@
 	return &Memory{free: semaphore.NewWeighted(max(bytes, HeldBody))}
 }
 
-// Hold takes room for the body of r, and reports whether there was some. The
-// caller calls release once the body is no longer needed.
-func (m *Memory) Hold(r *http.Request) (release func(), ok bool) {
-	size := r.ContentLength
+// Hold takes room for a body of a length in bytes, -1 when it is not known, and
+// reports whether there was some. The caller calls release once the body is no
+// longer needed.
+func (m *Memory) Hold(length int64) (release func(), ok bool) {
+	size := length
 	if size < 0 || size > HeldBody {
 		size = HeldBody
 	}
--- a/internal/ffmeshpeer/server.go
+++ b/internal/ffmeshpeer/server.go
@@ -50,7 +50,7 @@
 	if r.Header.Get("Expect") == "" {
 		w.WriteHeader(http.StatusProcessing)
 	}
-	release, ok := h.Memory.Hold(r)
+	release, ok := h.Memory.Hold(c.Length)
 	if !ok {
 		h.Log.Warn().Str("request", c.ID).Msg("no memory for the body of a call")
 		h.write(w, c, &ffmesh.Reply{Outcome: ffmesh.OutcomeNotRun, Reason: ffmesh.ReasonBusy})
@@ -63,6 +63,17 @@
 		return
 	}
 	defer done()
+	h.receive(r, c)
+	if c.Stream == nil {
+		done()
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	defer cancel()
+	h.write(w, c, h.Gate.Do(ctx, c))
+}
+
+// receive reads the body of a call.
+func (h *Handler) receive(r *http.Request, c *ffmesh.Call) {
 	body, stream, err := ffmesh.ReadBody(r)
 	if err != nil {
 		h.Log.Warn().Err(err).Str("request", c.ID).Msg("body of a call broke off")
@@ -70,12 +81,8 @@
 	}
 	c.Body, c.Stream = body, stream
 	if stream == nil {
-		done()
 		c.Length = int64(len(body))
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
-	defer cancel()
-	h.write(w, c, h.Gate.Do(ctx, c))
 }
 
 func (h *Handler) write(w http.ResponseWriter, c *ffmesh.Call, r *ffmesh.Reply) {
