Large configurations: the last version alone, reads that move may take long, words compressed

A watch returns every version written meanwhile; reads ended after 0.9 s in all ('store lost' 14 times between seconds 22 and 28), and pulls between daemons after 0.5 s (129 times). Version 22 came to the first daemon 0.9 s before and to the last 2.9 s after its acknowledgement's bound began. Now a read of the store and a pull end when nothing comes, not when they last; after a new version of a large configuration the reader reads everything, which holds the last version alone; words between daemons are compressed.

--- a/internal/ffgossip/content.go
+++ b/internal/ffgossip/content.go
@@ -1,6 +1,8 @@
 package ffgossip
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -72,7 +74,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Type", "application/gzip")
 	w.Header().Set(ageHeader, strconv.FormatInt(int64(time.Since(confirmed)), 10))
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	if _, err := w.Write(b); err != nil {
@@ -93,13 +95,29 @@
 	if b, ok := h.encoded[u.RawQuery]; ok {
 		return b, nil
 	}
-	b, err := json.Marshal(h.content(u.Query()))
+	b, err := pack(h.content(u.Query()))
 	if err == nil {
 		h.encoded[u.RawQuery] = b
 	}
 	return b, err
 }
 
+// pack encodes content; that of a large configuration shrinks a lot.
+func pack(c content) ([]byte, error) {
+	var b bytes.Buffer
+	z, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.NewEncoder(z).Encode(c); err != nil {
+		return nil, err
+	}
+	if err := z.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
 func (h *ContentHandler) content(has url.Values) content {
 	word := h.State.Word()
 	revision, fleet := h.State.Read()
@@ -133,7 +151,11 @@
 // decodeContent reads a word that was sent to a peer with a configuration.
 func decodeContent(r io.Reader, table *ffroute.Table) (*content, error) {
 	var c content
-	if err := json.NewDecoder(io.LimitReader(r, maxContent)).Decode(&c); err != nil {
+	z, err := gzip.NewReader(r)
+	if err != nil {
+		return nil, &Error{Op: "read a word", Kind: KindDecode, Err: err}
+	}
+	if err := json.NewDecoder(io.LimitReader(z, maxContent)).Decode(&c); err != nil {
 		return nil, &Error{Op: "read a word", Kind: KindDecode, Err: err}
 	}
 	switch {
--- a/internal/ffgossip/fetch.go
+++ b/internal/ffgossip/fetch.go
@@ -17,8 +17,8 @@
 	fetchKeep = 20 * time.Second
 )
 
-// fetch asks a peer for its word.
-func fetch(ctx context.Context, pool *ffhop.Pool, has *Word, fleet fffleet.Fleet) (*content, error) {
+// fetch asks a peer for its word and calls progress whenever bytes come.
+func fetch(ctx context.Context, pool *ffhop.Pool, has *Word, fleet fffleet.Fleet, progress func()) (*content, error) {
 	conn, err := pool.Get(ctx, fetchIdle)
 	if err != nil {
 		return nil, err
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := decodeContent(resp.Body, has.Table)
+	c, err := decodeContent(ffhop.Moving(resp.Body, progress), has.Table)
 	if err != nil {
 		e.Abort()
 		return nil, err
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -23,8 +23,10 @@
 	heartbeatRate = 64
 	// maxDatagram is the longest heartbeat, in bytes.
 	maxDatagram = 1400
-	// pullTimeout bounds the pull of a word.
+	// pullTimeout is how long a peer may send nothing of a word.
 	pullTimeout = 500 * time.Millisecond
+	// pullMost bounds one pull in all.
+	pullMost = 3 * time.Second
 	// pulls bounds the pulls that wait.
 	pulls = 8
 	// spreadAll is the greatest number of peers that a daemon with news tells all at
@@ -245,10 +247,12 @@
 	if !ok || peer.Last.Revision < n.State.Word().Revision || peer.Last.Digest == n.digest() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pullMost)
 	defer cancel()
+	silence := time.AfterFunc(pullTimeout, cancel)
+	defer silence.Stop()
 	_, known := n.State.Read()
-	c, err := fetch(ctx, n.Pool(vm), n.State.Word(), known)
+	c, err := fetch(ctx, n.Pool(vm), n.State.Word(), known, func() { silence.Reset(pullTimeout) })
 	if err != nil {
 		n.Log.Warn().Err(err).Stringer("peer", vm).Msg("word not pulled")
 		return
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -19,8 +19,13 @@
 	readStep = 150 * time.Millisecond
 	// maxReadAge is the age at which every daemon reads, whatever its place.
 	maxReadAge = 1300 * time.Millisecond
-	// readTimeout bounds one call to the store.
+	// readTimeout is how long the store may send nothing in a call.
 	readTimeout = 900 * time.Millisecond
+	// readMost bounds one read in all.
+	readMost = 5 * time.Second
+	// manyRoutes is the size of a configuration from which each version takes a
+	// notable time on a slow link.
+	manyRoutes = 300
 	// watchWait is how long a call waits for the first change.
 	watchWait = 450 * time.Millisecond
 	// readTick is the interval of looks at the age of the word.
@@ -49,6 +54,9 @@
 	notUntil time.Time
 	full     time.Time
 	lost     bool
+	// heavy tells that the last read brought a new version of a large configuration.
+	// The history may hold many more of them by now; a complete read has the last.
+	heavy bool
 }
 
 // run reads until ctx ends.
@@ -89,24 +97,29 @@
 
 // read asks the store once.
 func (r *Reader) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readMost)
 	defer cancel()
+	silence := time.AfterFunc(readTimeout, cancel)
+	defer silence.Stop()
+	progress := func() { silence.Reset(readTimeout) }
 	started := time.Now()
 	revision, fleet := r.State.Read()
+	version := r.State.Word().Version()
 	var err error
-	if revision == 0 || r.lost || started.Sub(r.full) > fullReadEvery {
-		err = r.readFull(ctx, started)
+	if revision == 0 || r.lost || r.heavy || started.Sub(r.full) > fullReadEvery {
+		err = r.readFull(ctx, started, progress)
 	} else {
-		err = r.readChanges(ctx, started, revision, fleet)
+		err = r.readChanges(ctx, started, revision, fleet, progress)
 	}
+	r.heavy = r.State.Word().Version() != version && len(r.State.Table().Routes) >= manyRoutes
 	r.note(err)
 	if err == nil && r.Spread != nil {
 		r.Spread()
 	}
 }
 
-func (r *Reader) readFull(ctx context.Context, started time.Time) error {
-	full, err := r.Source.Read(ctx)
+func (r *Reader) readFull(ctx context.Context, started time.Time, progress func()) error {
+	full, err := r.Source.Read(ctx, progress)
 	if err != nil {
 		return err
 	}
@@ -130,15 +143,15 @@
 	return known.With(changes)
 }
 
-func (r *Reader) readChanges(ctx context.Context, started time.Time, revision uint64, fleet fffleet.Fleet) error {
-	changes, lost, err := r.Source.Changes(ctx, revision, watchWait)
+func (r *Reader) readChanges(ctx context.Context, started time.Time, revision uint64, fleet fffleet.Fleet, progress func()) error {
+	changes, lost, err := r.Source.Changes(ctx, revision, watchWait, progress)
 	if err != nil {
 		r.lost = true
 		return err
 	}
 	if lost {
 		r.Log.Warn().Uint64("revision", revision).Msg("history of the store is gone")
-		return r.readFull(ctx, started)
+		return r.readFull(ctx, started, progress)
 	}
 	confirmed := started
 	if changes.Table == nil && len(changes.Targets) == 0 {
--- a/internal/ffgossip/source.go
+++ b/internal/ffgossip/source.go
@@ -8,13 +8,13 @@
 	"fireflyfall.dev/fireflyfall/internal/ffroute"
 )
 
-// Source is the platform's store.
+// Source is the platform's store. Its methods call progress whenever bytes come.
 type Source interface {
 	// Read returns everything.
-	Read(ctx context.Context) (*Full, error)
+	Read(ctx context.Context, progress func()) (*Full, error)
 	// Changes returns what changed after a revision. It waits a while for the first
 	// change. Lost tells that the history is gone and everything must be read.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (changes *Changes, lost bool, err error)
+	Changes(ctx context.Context, after uint64, wait time.Duration, progress func()) (changes *Changes, lost bool, err error)
 }
 
 // Full is everything that the store holds for us at one revision.
