--- a/internal/ffload/meshsoak.go
+++ b/internal/ffload/meshsoak.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -19,6 +21,7 @@
 	Seeds int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
 	For   time.Duration `arg:"--for" default:"18s" help:"least length of the load of each seed"`
 	VMs   int           `arg:"--vms" default:"5" help:"number of VMs, each with one daemon"`
+	Keep  string        `arg:"--keep" placeholder:"DIR" help:"directory for the records of seeds that broke a promise, with the daemons' logs"`
 }
 
 // meshReport is what a soak with one seed showed.
@@ -50,6 +53,9 @@
 		}
 		report := newMeshReport(rec)
 		broken += len(report.Broken)
+		if err := c.keep(rec, report); err != nil {
+			return err
+		}
 		if err := json.NewEncoder(out).Encode(report); err != nil {
 			return err
 		}
@@ -60,6 +66,21 @@
 	return nil
 }
 
+// keep writes the record of a seed that broke a promise.
+func (c *MeshSoak) keep(rec *ffmeshsoak.Record, report meshReport) error {
+	if c.Keep == "" || len(report.Broken) == 0 {
+		return nil
+	}
+	b, err := json.Marshal(rec)
+	if err != nil {
+		return &Error{Op: "keep a record", Kind: KindFile, Err: err}
+	}
+	if err := os.WriteFile(filepath.Join(c.Keep, fmt.Sprintf("seed-%d.json", rec.Seed)), b, 0o600); err != nil {
+		return &Error{Op: "keep a record", Kind: KindFile, Err: err}
+	}
+	return nil
+}
+
 func newMeshReport(rec *ffmeshsoak.Record) meshReport {
 	r := meshReport{Seed: rec.Seed, Requests: len(rec.Attempts), Events: len(rec.Happenings), Broken: []string{}}
 	for _, a := range rec.Attempts {
--- a/internal/ffmeshsoak/fleet.go
+++ b/internal/ffmeshsoak/fleet.go
@@ -240,6 +240,17 @@
 	return all
 }
 
+// logs returns the last lines of each daemon.
+func (f *fleet) logs() map[string][]string {
+	all := make(map[string][]string)
+	for _, v := range f.vms {
+		for _, l := range v.process.Lines() {
+			all[v.place.Name] = append(all[v.place.Name], string(l))
+		}
+	}
+	return all
+}
+
 func (f *fleet) close() {
 	f.group.Close()
 	for _, v := range f.vms {
--- a/internal/ffmeshsoak/judge.go
+++ b/internal/ffmeshsoak/judge.go
@@ -46,6 +46,7 @@
 	j := &judge{rec: rec}
 	older := make(map[int]int)
 	served, late := 0, 0
+	unserved := make(map[string]int)
 	for _, a := range sorted(rec.Attempts) {
 		j.attempt(a)
 		j.version(a, older)
@@ -53,11 +54,13 @@
 			late++
 			if a.Status == http.StatusOK {
 				served++
+			} else {
+				unserved[fmt.Sprintf("VM %d status %d", a.VM, a.Status)]++
 			}
 		}
 	}
 	if float64(served) < leastServed*float64(late) || late == 0 {
-		j.breach(PromiseRecovers, "%d of %d requests served after the last fault", served, late)
+		j.breach(PromiseRecovers, "%d of %d requests served after the last fault, not %v", served, late, unserved)
 	}
 	for _, h := range rec.Happenings {
 		j.happening(h)
--- a/internal/ffmeshsoak/record.go
+++ b/internal/ffmeshsoak/record.go
@@ -43,6 +43,8 @@
 	Happenings             []Happening
 	// Runs are the runs of each request, by its ID.
 	Runs map[string][]ffstandin.Run
+	// Logs are the last lines of each daemon, by the name of its VM.
+	Logs map[string][]string
 }
 
 // recorder collects a record.
--- a/internal/ffmeshsoak/soak.go
+++ b/internal/ffmeshsoak/soak.go
@@ -65,6 +65,7 @@
 	<-time.After(lateTail)
 	out.rec.Ended = time.Now()
 	out.rec.Runs = f.runs()
+	out.rec.Logs = f.logs()
 	return &out.rec, nil
 }
 
