--- a/internal/ffmeshsoak/fleet.go
+++ b/internal/ffmeshsoak/fleet.go
@@ -47,6 +47,8 @@
 	version int
 	born    int
 	targets []*ffstandin.Target
+	// late are the lines of daemons that did not end in time, with their stacks.
+	late []string
 }
 
 // vm is one VM of the fleet.
@@ -242,7 +244,9 @@
 
 // logs returns the last lines of each daemon.
 func (f *fleet) logs() map[string][]string {
-	all := make(map[string][]string)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := map[string][]string{"late": f.late}
 	for _, v := range f.vms {
 		for _, l := range v.process.Lines() {
 			all[v.place.Name] = append(all[v.place.Name], string(l))
--- a/internal/ffmeshsoak/judge.go
+++ b/internal/ffmeshsoak/judge.go
@@ -170,7 +170,7 @@
 }
 
 func (j *judge) stopped(h Happening) {
-	if h.Failed != "" && j.calm(h, h.Ended) {
+	if h.Failed != "" {
 		j.breach(PromiseStop, "VM %d: %s", h.VM, h.Failed)
 	}
 	for _, a := range j.rec.Attempts {
--- a/internal/ffmeshsoak/judge_test.go
+++ b/internal/ffmeshsoak/judge_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// TestLateEnd finds a daemon that did not end after a planned stop, also beside
+// other faults.
+func TestLateEnd(t *testing.T) {
+	rec := sound()
+	happened(rec, ffmeshsoak.FaultStoreCut, 5, 3000, ffmeshsoak.Happening{})
+	happened(rec, ffmeshsoak.FaultStop, 10, 7010, ffmeshsoak.Happening{Failed: "deadline"})
+	if all := ffmeshsoak.Judge(rec); len(all) != 1 || all[0].Promise != ffmeshsoak.PromiseStop {
+		t.Errorf("found %v", all)
+	}
+}
+
 // TestDraw draws the same events for a seed again, and leaves time to recover.
 func TestDraw(t *testing.T) {
 	const length, vms = 60 * time.Second, 5
--- a/internal/ffmeshsoak/record.go
+++ b/internal/ffmeshsoak/record.go
@@ -43,7 +43,8 @@
 	Happenings             []Happening
 	// Runs are the runs of each request, by its ID.
 	Runs map[string][]ffstandin.Run
-	// Logs are the last lines of each daemon, by the name of its VM.
+	// Logs are the last lines of each daemon by the name of its VM, and by "late" those
+	// of daemons that did not end in time, with their stacks.
 	Logs map[string][]string
 }
 
--- a/internal/ffmeshsoak/soak.go
+++ b/internal/ffmeshsoak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -15,6 +16,8 @@
 	clientsEach = 3
 	// stopWithin is the time that a planned stop may take.
 	stopWithin = 7 * time.Second
+	// dumpWithin is how long a daemon may take to write its stacks.
+	dumpWithin = 2 * time.Second
 	// startWithin bounds the start of a fleet.
 	startWithin = 20 * time.Second
 	// calmTail is how long requests go on after the time to recover.
@@ -186,8 +189,25 @@
 func (f *fleet) stop(ctx context.Context, v *vm) error {
 	ended, cancel := context.WithTimeout(ctx, stopWithin)
 	defer cancel()
-	if err := v.process.Stop(ended); err != nil {
-		return err
+	late := v.process.Stop(ended)
+	if late != nil {
+		late = errors.Join(late, f.endLate(ctx, v))
 	}
-	return f.start(ctx, v, true)
+	return errors.Join(late, f.start(ctx, v, true))
+}
+
+// endLate ends a daemon that did not end in time, and keeps the stacks that it was in.
+func (f *fleet) endLate(ctx context.Context, v *vm) error {
+	ctx, cancel := context.WithTimeout(ctx, dumpWithin)
+	defer cancel()
+	dumped := v.process.Dump(ctx)
+	f.mu.Lock()
+	for _, l := range v.process.Lines() {
+		f.late = append(f.late, string(l))
+	}
+	f.mu.Unlock()
+	if dumped == nil {
+		return nil
+	}
+	return errors.Join(dumped, v.process.Kill())
 }
--- a/internal/ffprocess/process.go
+++ b/internal/ffprocess/process.go
@@ -59,6 +59,20 @@
 // Hangup sends the process SIGHUP.
 func (p *Process) Hangup() error { return p.signal("hang up", syscall.SIGHUP) }
 
+// Dump asks the process for the stacks of its goroutines, which end it, and waits for
+// that until ctx is done.
+func (p *Process) Dump(ctx context.Context) error {
+	if err := p.signal("dump", syscall.SIGQUIT); err != nil {
+		return err
+	}
+	select {
+	case <-p.exited:
+		return nil
+	case <-ctx.Done():
+		return p.fail("dump", KindDeadline, ctx.Err())
+	}
+}
+
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() error {
 	err := p.signal("kill", syscall.SIGKILL)
