A closing port answers every connection that was being made

Cause (KNOWN-RED TestPlannedStopOfEntry: `write: connection reset by peer` on a connection made just before the port closed): closing a listening socket resets the connections in its accept queue, whose clients may have sent a request. With plain TCP a filter that drops opening segments alone lets handshakes under way finish; the port closes once 100 ms have passed and nothing waits to be accepted. A client that connects in the last 100 ms is refused a second later instead of being cut.

--- a/internal/ffdaemon/daemon.go
+++ b/internal/ffdaemon/daemon.go
@@ -20,6 +20,7 @@
 	"fireflyfall.dev/fireflyfall/internal/ffmember"
 	"fireflyfall.dev/fireflyfall/internal/ffoperator"
 	"fireflyfall.dev/fireflyfall/internal/ffpeer"
+	"fireflyfall.dev/fireflyfall/internal/ffport"
 )
 
 const (
@@ -112,16 +113,20 @@
 
 // listeners are the open ports of a daemon.
 type listeners struct {
-	caller, operator, peer, forward net.Listener
+	caller                  *ffport.Port
+	operator, peer, forward net.Listener
 }
 
 func (d *Daemon) listen(ctx context.Context) (*listeners, error) {
-	var l listeners
+	caller, err := ffport.Listen(ctx, d.Settings.CallerAddress)
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	l := listeners{caller: caller}
 	for _, one := range []struct {
 		into    *net.Listener
 		address string
 	}{
-		{&l.caller, d.Settings.CallerAddress},
 		{&l.operator, d.Settings.OperatorAddress},
 		{&l.peer, d.Settings.PeerAddress},
 		{&l.forward, d.Settings.ForwardAddress},
@@ -168,7 +173,7 @@
 // leave announces that the VM takes no new work, finishes what is in flight and
 // closes the ports. The callers' port is closed before their server, which would
 // drop a request that it has just read if it were shut down.
-func (d *Daemon) leave(port net.Listener, callers, operators *http.Server) error {
+func (d *Daemon) leave(port *ffport.Port, callers, operators *http.Server) error {
 	deadline := time.Now().Add(d.Settings.DrainTimeout)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -178,7 +183,9 @@
 	d.Node.Leave(ctx)
 	drained := d.Gate.Drain(ctx)
 	wait(ctx, leaveGrace)
-	_ = port.Close()
+	if err := port.Finish(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("port of the callers closed at once")
+	}
 	d.Callers.Wait(ctx)
 	stopped := callers.Close()
 	d.Trail.Record(ffaudit.Event{Kind: ffaudit.KindDrainFinished, Subject: d.Settings.Name})
--- a/internal/ffnode/leave.go
+++ b/internal/ffnode/leave.go
@@ -1,6 +1,9 @@
 package ffnode
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 const (
 	// leaveTick is the interval of looks at what is still in work.
@@ -23,6 +26,8 @@
 func (n *Node) leave(sv *servers, ready *ready) {
 	started := time.Now()
 	last := started.Add(n.Settings.Load().StopGrace - stopMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), last)
+	defer cancel()
 	n.Log.Info().Time("latest", last).Msg("leave")
 	ready.leaving.Store(true)
 	n.Entry.Close()
@@ -39,7 +44,7 @@
 		}
 		if !closed && (elapsed > latestClose || elapsed > unreadyFor && now.Sub(busy) > quietFor) {
 			closed = true
-			sv.stopTaking()
+			sv.stopTaking(ctx, n.Log)
 		}
 		if closed && now.Sub(busy) > quietFor {
 			break
--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -18,6 +18,7 @@
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 	"fireflyfall.dev/fireflyfall/internal/ffmeshpeer"
 	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
+	"fireflyfall.dev/fireflyfall/internal/ffport"
 )
 
 const (
@@ -60,7 +61,7 @@
 type servers struct {
 	all []*http.Server
 	// port is the listener of the clients, and clients their connections.
-	port    net.Listener
+	port    *ffport.Port
 	clients connections
 }
 
@@ -73,11 +74,17 @@
 	group, serving := errgroup.WithContext(serving)
 	sv := &servers{}
 	ready := &ready{state: n.State}
+	port, err := ffport.Listen(ctx, s.Callers.String())
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	sv.port = port
+	clients := sv.caller(n.Entry)
+	group.Go(func() error { return serve(clients, port) })
 	for _, one := range []struct {
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{s.Callers, sv.caller(n.Entry)},
 		{s.Peers, sv.plain(n.peerHandler())},
 		{s.Ready, sv.plain(ready)},
 		{s.Metrics, sv.plain(metricsHandler(n.Registry))},
@@ -86,9 +93,6 @@
 		if err != nil {
 			return &Error{Op: "listen", Kind: KindListen, Err: err}
 		}
-		if one.address == s.Callers {
-			sv.port = l
-		}
 		group.Go(func() error { return serve(one.server, l) })
 	}
 	group.Go(func() error { return n.Gossip.Run(serving) })
@@ -104,7 +108,7 @@
 		sv.close()
 		return nil
 	})
-	err := group.Wait()
+	err = group.Wait()
 	n.Log.Info().AnErr("err", err).Msg("stop")
 	if err != nil {
 		return &Error{Op: "run", Kind: KindServe, Err: err}
@@ -141,8 +145,10 @@
 // stopTaking closes the port of the clients and their idle connections. What was
 // accepted before is still served: http.Server.Shutdown would drop a request that
 // it has just read.
-func (sv *servers) stopTaking() {
-	_ = sv.port.Close()
+func (sv *servers) stopTaking(ctx context.Context, log zerolog.Logger) {
+	if err := sv.port.Finish(ctx); err != nil {
+		log.Warn().Err(err).Msg("port of the clients closed at once")
+	}
 	sv.clients.closeIdle(time.Now())
 }
 
--- /dev/null
+++ b/internal/ffport/doc.go
@@ -0,0 +1,3 @@
+// Package ffport opens TCP ports that close without a reset of connections that
+// are being made.
+package ffport
--- /dev/null
+++ b/internal/ffport/error.go
@@ -0,0 +1,29 @@
+package ffport
+
+import "fmt"
+
+//go:generate stringer -type=Kind -linecomment -output=kind_string.go
+
+// Kind tells what sort of failure an Error reports.
+type Kind int
+
+// Kinds of failure.
+const (
+	KindUnknown Kind = iota // unknown
+	KindListen              // listen
+	KindFilter              // filter
+	KindClose               // close
+)
+
+// Error is a failure to open or to close a port.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("ffport: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
