A fleet that starts as a whole knows one first reader of the store

In a large fleet the second reader also read before a word of the first could have come round. Now a daemon takes each VM with a target for live until it has run for 1.5 s, the order goes by address, and the second reader waits half a round of heartbeats.

--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -29,6 +29,9 @@
 	pullMost = 3 * time.Second
 	// pulls bounds the pulls that wait.
 	pulls = 8
+	// presumeFor is how long a daemon that starts takes others for live that it has
+	// not heard of.
+	presumeFor = 1500 * time.Millisecond
 	// spreadAll is the greatest number of peers that a daemon with news tells all at
 	// once. Of more it tells spreadSome, which tell others in turn.
 	spreadAll  = 16
@@ -53,7 +56,10 @@
 	Pool func(vm netip.Addr) *ffhop.Pool
 	Log  zerolog.Logger
 
-	conn     *net.UDPConn
+	conn *net.UDPConn
+	// presumeUntil is when daemons that were not heard of stop to count as live.
+	presumeUntil time.Time
+
 	sequence atomic.Uint64
 	leaving  atomic.Bool
 	pull     chan netip.Addr
@@ -71,7 +77,9 @@
 	}
 	n.conn = conn
 	n.pull = make(chan netip.Addr, pulls)
-	n.Reader.Place = func() int { return n.Peers.Place(n.Name, n.DataCentre, time.Now()) }
+	n.presumeUntil = time.Now().Add(presumeFor)
+	n.Reader.Place = n.place
+	n.Reader.Round = func() time.Duration { return time.Duration(n.every.Load()) }
 	n.Reader.Spread = n.Spread
 	var wg sync.WaitGroup
 	for _, duty := range []func(context.Context){n.Reader.run, n.runHeartbeats, n.runPulls, n.runHearing} {
@@ -83,6 +91,20 @@
 	return nil
 }
 
+// place returns this daemon's place in the order of readers. One that has just
+// started takes each VM with a target for live: a fleet that starts as a whole
+// would otherwise read the store as one until everybody was heard.
+func (n *Node) place() int {
+	now := time.Now()
+	var presumed []Member
+	if now.Before(n.presumeUntil) {
+		for _, t := range n.State.Fleet().All() {
+			presumed = append(presumed, Member{VM: t.VM(), DataCentre: t.DataCentre})
+		}
+	}
+	return n.Peers.Place(Member{VM: n.Listen.Addr(), DataCentre: n.DataCentre}, presumed, now)
+}
+
 // Leave tells the others that the daemon is about to end.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
--- a/internal/ffgossip/peers.go
+++ b/internal/ffgossip/peers.go
@@ -1,6 +1,7 @@
 package ffgossip
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -69,56 +70,55 @@
 	return vms
 }
 
-// place is a daemon's part in the order of readers.
-type place struct {
-	name, dataCentre string
-	hash             uint64
+// Member is a daemon in the order of readers.
+type Member struct {
+	VM         netip.Addr
+	DataCentre string
 }
 
-// Place returns the place of the daemon self in the order of readers: by hash,
-// with the first daemon of each data centre before the second of any.
-func (p *Peers) Place(self, dataCentre string, now time.Time) int {
-	order := []place{{self, dataCentre, xxhash.Sum64String(self)}}
+// Place returns the place of the daemon self in the order of readers, among the
+// live daemons and those presumed to be live although nothing was heard of them:
+// by hash, with the first daemon of each data centre before the second of any.
+func (p *Peers) Place(self Member, presumed []Member, now time.Time) int {
+	members := []Member{self}
 	p.mu.Lock()
 	for _, peer := range p.peers {
-		if now.Before(peer.Until) && !peer.Last.Leaving && peer.Last.Name != self {
-			order = append(order, place{peer.Last.Name, peer.Last.DataCentre, xxhash.Sum64String(peer.Last.Name)})
+		if now.Before(peer.Until) && !peer.Last.Leaving {
+			members = append(members, Member{VM: peer.VM, DataCentre: peer.Last.DataCentre})
 		}
 	}
-	p.mu.Unlock()
-	slices.SortFunc(order, func(a, b place) int {
-		if a.hash < b.hash {
-			return -1
+	for _, m := range presumed {
+		if _, heard := p.peers[m.VM]; !heard {
+			members = append(members, m)
 		}
-		return 1
-	})
-	return placeOf(self, order)
+	}
+	p.mu.Unlock()
+	return placeOf(self, members)
 }
 
-func placeOf(self string, order []place) int {
-	rounds := make(map[string]int)
-	round := make(map[string]int, len(order))
-	for _, o := range order {
-		round[o.name] = rounds[o.dataCentre]
-		rounds[o.dataCentre]++
-	}
-	n := 0
-	for _, o := range order {
-		if o.name == self {
-			continue
-		}
-		if round[o.name] < round[self] || round[o.name] == round[self] && o.hash < hashOf(self, order) {
-			n++
-		}
-	}
-	return n
+// placed is a member with its part in the order.
+type placed struct {
+	member Member
+	hash   uint64
+	// round is the number of members of its data centre before it.
+	round int
 }
 
-func hashOf(name string, order []place) uint64 {
-	for _, o := range order {
-		if o.name == name {
-			return o.hash
+func placeOf(self Member, members []Member) int {
+	order := make([]placed, 0, len(members))
+	seen := make(map[netip.Addr]bool, len(members))
+	for _, m := range members {
+		if !seen[m.VM] {
+			seen[m.VM] = true
+			order = append(order, placed{member: m, hash: xxhash.Sum64(m.VM.AsSlice())})
 		}
 	}
-	return 0
+	slices.SortFunc(order, func(a, b placed) int { return cmp.Compare(a.hash, b.hash) })
+	rounds := make(map[string]int)
+	for i, o := range order {
+		order[i].round = rounds[o.member.DataCentre]
+		rounds[o.member.DataCentre]++
+	}
+	slices.SortStableFunc(order, func(a, b placed) int { return cmp.Compare(a.round, b.round) })
+	return slices.IndexFunc(order, func(o placed) bool { return o.member.VM == self.VM })
 }
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -12,13 +12,16 @@
 )
 
 const (
-	// firstAge is the age at which the first daemon in order reads again, readAge
-	// that of the second, and readStep what each further one waits longer.
+	// firstAge is the age at which the first daemon in order reads again.
 	firstAge = 250 * time.Millisecond
-	readAge  = 750 * time.Millisecond
+	// missedReads is how many reads of the first one the second misses before it
+	// reads, besides the time that a word takes to come round; maxRound bounds that.
+	missedReads = 2
+	maxRound    = 600 * time.Millisecond
+	// readStep is what each further one in order waits longer, and maxSteps what
+	// the last ones do at most.
 	readStep = 150 * time.Millisecond
-	// maxReadAge is the age at which every daemon reads, whatever its place.
-	maxReadAge = 1300 * time.Millisecond
+	maxSteps = 550 * time.Millisecond
 	// readTimeout is how long the store may send nothing in a call.
 	readTimeout = 900 * time.Millisecond
 	// readMost bounds one read in all.
@@ -45,6 +48,9 @@
 	Log    zerolog.Logger
 	// Place returns this daemon's place in the order of readers, from 0.
 	Place func() int
+	// Round returns the time between two heartbeats of a daemon to the same peer; it
+	// may be nil.
+	Round func() time.Duration
 	// Spread is called after each read; it may be nil.
 	Spread func()
 	// Reads and Failures count the reads that were answered and those that failed.
@@ -84,15 +90,25 @@
 	if w.Confirmed.IsZero() || w.Table == nil {
 		return true
 	}
-	return now.Sub(w.Confirmed) > readDue(r.Place())
+	return now.Sub(w.Confirmed) > readDue(r.Place(), r.round())
 }
 
-// readDue returns the age of the word at which the daemon in a place reads.
-func readDue(place int) time.Duration {
+func (r *Reader) round() time.Duration {
+	if r.Round == nil {
+		return 0
+	}
+	return r.Round()
+}
+
+// readDue returns the age of the word at which the daemon in a place reads. In a
+// large fleet it takes longer until a word has come to everybody: about half the
+// time between two heartbeats to the same peer.
+func readDue(place int, round time.Duration) time.Duration {
 	if place == 0 {
 		return firstAge
 	}
-	return min(readAge+time.Duration(place-1)*readStep, maxReadAge)
+	second := missedReads*firstAge + min(max(round/2, heartbeatEvery), maxRound)
+	return second + min(time.Duration(place-1)*readStep, maxSteps)
 }
 
 // read asks the store once.
--- a/internal/ffgossip/reader_test.go
+++ b/internal/ffgossip/reader_test.go
@@ -86,3 +86,26 @@
 		})
 	}
 }
+
+// TestReadDue wants the second in order to wait until a word of the first has come
+// round, also in a large fleet, and nobody to wait much over a second and a half.
+func TestReadDue(t *testing.T) {
+	for _, c := range []struct {
+		place   int
+		vms     int
+		atLeast time.Duration
+		atMost  time.Duration
+	}{
+		{place: 0, vms: 10, atLeast: 200 * time.Millisecond, atMost: 300 * time.Millisecond},
+		{place: 0, vms: 300, atLeast: 200 * time.Millisecond, atMost: 300 * time.Millisecond},
+		{place: 1, vms: 10, atLeast: 700 * time.Millisecond, atMost: 800 * time.Millisecond},
+		{place: 1, vms: 66, atLeast: 950 * time.Millisecond, atMost: 1100 * time.Millisecond},
+		{place: 65, vms: 66, atLeast: 1400 * time.Millisecond, atMost: 1700 * time.Millisecond},
+		{place: 299, vms: 300, atLeast: 1400 * time.Millisecond, atMost: 1700 * time.Millisecond},
+	} {
+		round := time.Duration(c.vms) * time.Second / heartbeatRate
+		if got := readDue(c.place, round); got < c.atLeast || got > c.atMost {
+			t.Errorf("place %d of %d: reads at an age of %v, want %v to %v", c.place, c.vms, got, c.atLeast, c.atMost)
+		}
+	}
+}
--- a/internal/ffgossip/spread_test.go
+++ b/internal/ffgossip/spread_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,10 +24,9 @@
 		peers := &ffgossip.Peers{}
 		for i := range daemons {
 			h := ffgossip.Heartbeat{Name: fmt.Sprint("vm-", i), DataCentre: "z", Incarnation: 1, Sequence: 1, Every: every}
-			vm := netip.AddrFrom4([4]byte{10, 0, 0, byte(i)})
-			peers.Hear(vm, h, now.Add(-every*time.Duration(i)/daemons))
+			peers.Hear(vmAt(i), h, now.Add(-every*time.Duration(i)/daemons))
 		}
-		if peers.Place(fmt.Sprint("vm-", self), "z", now.Add(beatLate)) == 0 {
+		if peers.Place(ffgossip.Member{VM: vmAt(self), DataCentre: "z"}, nil, now.Add(beatLate)) == 0 {
 			first++
 		}
 	}
--- a/internal/ffgossip/state_test.go
+++ b/internal/ffgossip/state_test.go
@@ -1,6 +1,7 @@
 package ffgossip_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -72,38 +73,75 @@
 // TestPlace gives each daemon a place of its own, the first of each data centre
 // before the second of any, and closes the gap of one that leaves.
 func TestPlace(t *testing.T) {
-	names := map[string]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
-	place := func(self string, without string) int {
+	centres := []string{"a", "a", "a", "b", "b"}
+	place := func(self int, without int) int {
 		var p ffgossip.Peers
-		i := byte(0)
-		for name, centre := range names {
-			i++
-			if name != self && name != without {
-				p.Hear(netip.AddrFrom4([4]byte{10, 0, 0, i}), ffgossip.Heartbeat{Name: name, DataCentre: centre, Sequence: 1}, time.Now())
+		for i, centre := range centres {
+			if i != self && i != without {
+				p.Hear(vmAt(i), ffgossip.Heartbeat{Name: fmt.Sprint(i), DataCentre: centre, Sequence: 1}, time.Now())
 			}
 		}
-		return p.Place(self, names[self], time.Now())
+		return p.Place(ffgossip.Member{VM: vmAt(self), DataCentre: centres[self]}, nil, time.Now())
 	}
-	at := make(map[int]string)
-	for name := range names {
-		at[place(name, "")] = name
+	at := make(map[int]int)
+	for i := range centres {
+		at[place(i, -1)] = i
 	}
-	if len(at) != len(names) {
+	if len(at) != len(centres) {
 		t.Fatalf("places are shared: %v", at)
 	}
-	if names[at[0]] == names[at[1]] {
+	if centres[at[0]] == centres[at[1]] {
 		t.Errorf("the first two readers are in one data centre: %v", at)
 	}
 	without := at[0]
-	rest := make(map[int]string)
-	for name := range names {
-		if name != without {
-			rest[place(name, without)] = name
+	rest := make(map[int]bool)
+	for i := range centres {
+		if i != without {
+			rest[place(i, without)] = true
 		}
 	}
-	for i := range len(names) - 1 {
-		if rest[i] == "" {
+	for i := range len(centres) - 1 {
+		if !rest[i] {
 			t.Errorf("place %d is empty once the first daemon is gone: %v", i, rest)
 		}
 	}
 }
+
+// TestPlaceAtStart wants one first reader in a fleet that starts as a whole, in
+// which each daemon has read the targets and heard nobody, and another one at once
+// when a daemon that was heard says that it leaves.
+func TestPlaceAtStart(t *testing.T) {
+	const daemons = 66
+	centres := []string{"a", "b", "c"}
+	members := make([]ffgossip.Member, daemons)
+	for i := range members {
+		members[i] = ffgossip.Member{VM: vmAt(i), DataCentre: centres[i%len(centres)]}
+	}
+	first := -1
+	for i, self := range members {
+		var p ffgossip.Peers
+		if p.Place(self, members, time.Now()) != 0 {
+			continue
+		}
+		if first >= 0 {
+			t.Fatalf("daemons %d and %d are both first", first, i)
+		}
+		first = i
+	}
+	if first < 0 {
+		t.Fatal("no daemon is first")
+	}
+	seconds := 0
+	for i, self := range members {
+		var p ffgossip.Peers
+		p.Hear(vmAt(first), ffgossip.Heartbeat{Sequence: 1, Leaving: true}, time.Now())
+		if i != first && p.Place(self, members, time.Now()) == 0 {
+			seconds++
+		}
+	}
+	if seconds != 1 {
+		t.Errorf("%d daemons take the place of the first", seconds)
+	}
+}
+
+func vmAt(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}) }
