--- a/internal/ffpipeline/server_test.go
+++ b/internal/ffpipeline/server_test.go
@@ -330,7 +330,7 @@
 func FuzzServe(f *testing.F) {
 	f.Add([]byte(get("/") + get("/slow/1")))
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		client, server := net.Pipe()
 		s := &ffpipeline.Server{Handler: &handler{}, Ahead: ahead}
 		l := &oneListener{c: server}
