A request that comes while the clients' port closes is finished

Ruled out: the idle connections that are closed then (the request was in work), and the new server of the clients (its Close is called by that loop alone). Red first: TestStopWhileClosing, requests of 2.32 and 2.37 s after the stop ran and got no answer.

--- a/internal/ffnode/leave.go
+++ b/internal/ffnode/leave.go
@@ -45,6 +45,9 @@
 		if !closed && (elapsed > latestClose || elapsed > unreadyFor && now.Sub(busy) > quietFor) {
 			closed = true
 			sv.stopTaking(ctx, n.Log)
+			// A request may have come while the port closed.
+			busy = time.Now()
+			continue
 		}
 		if closed && now.Sub(busy) > quietFor {
 			break
