An idle daemon wakes less often

Cause: on the grown sites time of the processor makes requests late. An idle daemon woke 50 times a second to look for log lines and 25 times to look at the age of its word, and worked out its place among the readers each time. Now log lines are written every 100 ms, and the reader sleeps until its word can be due, 200 ms at most.

--- a/internal/ffcommand/logwriter.go
+++ b/internal/ffcommand/logwriter.go
@@ -12,9 +12,9 @@
 	// logLines bounds the log lines that wait to be written.
 	logLines = 1000
 	// logPoll is the interval at which waiting log lines are written.
-	logPoll = 20 * time.Millisecond
+	logPoll = 100 * time.Millisecond
 	// logClose bounds the wait for the last log lines.
-	logClose = 200 * time.Millisecond
+	logClose = 300 * time.Millisecond
 )
 
 // logWriter passes log lines on without ever blocking its callers. When too many
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -31,8 +31,10 @@
 	manyRoutes = 300
 	// watchWait is how long a call waits for the first change.
 	watchWait = 450 * time.Millisecond
-	// readTick is the interval of looks at the age of the word.
-	readTick = 40 * time.Millisecond
+	// minPause and maxPause bound the time between two looks at the age of the word,
+	// which other daemons make younger.
+	minPause = 40 * time.Millisecond
+	maxPause = 200 * time.Millisecond
 	// Pauses after a failed call.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
@@ -67,30 +69,35 @@
 
 // run reads until ctx ends.
 func (r *Reader) run(ctx context.Context) {
-	ticker := time.NewTicker(readTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		if now := time.Now(); r.due(now) {
-			r.read(ctx)
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		}
+		now := time.Now()
+		at := r.next()
+		if !at.After(now) {
+			r.read(ctx)
+			at = r.next()
 		}
+		timer.Reset(min(max(time.Until(at), minPause), maxPause))
 	}
 }
 
-// due reports whether it is this daemon's turn to read.
-func (r *Reader) due(now time.Time) bool {
-	if now.Before(r.notUntil) {
-		return false
-	}
+// next returns when this daemon reads unless others make its word younger.
+func (r *Reader) next() time.Time {
 	w := r.State.Word()
 	if w.Confirmed.IsZero() || w.Table == nil {
-		return true
+		return r.notUntil
+	}
+	at := w.Confirmed.Add(readDue(r.Place(), r.round()))
+	if at.Before(r.notUntil) {
+		return r.notUntil
 	}
-	return now.Sub(w.Confirmed) > readDue(r.Place(), r.round())
+	return at
 }
 
 func (r *Reader) round() time.Duration {
