--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,10 +22,6 @@
 )
 
 const (
-	// headTimeout bounds the time in which the head of a request comes in.
-	headTimeout = 10 * time.Second
-	// peerIdle is longer than peers keep their idle connections.
-	peerIdle = time.Minute
 	// defaultIdle is how long an idle client keeps its connection while no
 	// configuration says.
 	defaultIdle = time.Minute
@@ -58,14 +53,6 @@
 	return n.run(ctx, reloads)
 }
 
-// servers are the HTTP servers of a daemon.
-type servers struct {
-	all []*http.Server
-	// port is the listener of the clients, and clients serves their connections.
-	port    *ffport.Port
-	clients *ffpipeline.Server
-}
-
 func (n *Node) run(ctx context.Context, reloads <-chan Settings) error {
 	s := n.Settings.Load()
 	n.Log.Info().Stringer("callers", s.Callers).Stringer("target", s.Target).Str("service", s.Service).Msg("start")
@@ -73,29 +60,12 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
-	sv := &servers{}
 	ready := &ready{state: n.State}
-	port, err := ffport.Listen(ctx, s.Callers.String())
+	sv, err := n.listen(ctx, s, ready)
 	if err != nil {
-		return &Error{Op: "listen", Kind: KindListen, Err: err}
-	}
-	sv.port = port
-	sv.clients = &ffpipeline.Server{Handler: n.Entry, Ahead: n.Entry.Ahead, Limits: n.limits, Log: n.Log}
-	group.Go(func() error { return ended(sv.clients.Serve(port)) })
-	for _, one := range []struct {
-		address netip.AddrPort
-		server  *http.Server
-	}{
-		{s.Peers, sv.plain(n.peerHandler())},
-		{s.Ready, sv.plain(ready)},
-		{s.Metrics, sv.plain(metricsHandler(n.Registry))},
-	} {
-		l, err := net.Listen("tcp4", one.address.String())
-		if err != nil {
-			return &Error{Op: "listen", Kind: KindListen, Err: err}
-		}
-		group.Go(func() error { return ended(one.server.Serve(l)) })
+		return err
 	}
+	sv.serve(group)
 	group.Go(func() error { return n.Gossip.Run(serving) })
 	group.Go(func() error { n.runSweeps(serving); return nil })
 	group.Go(func() error { n.runReloads(serving, reloads); return nil })
@@ -117,6 +87,34 @@
 	return nil
 }
 
+// listen opens the ports of the daemon.
+func (n *Node) listen(ctx context.Context, s *Settings, ready *ready) (*servers, error) {
+	port, err := ffport.Listen(ctx, s.Callers.String())
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	sv := &servers{
+		port:    port,
+		clients: &ffpipeline.Server{Handler: n.Entry, Ahead: n.Entry.Ahead, Limits: n.limits, Log: n.Log},
+	}
+	for _, one := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{s.Peers, n.peerHandler()},
+		{s.Ready, ready},
+		{s.Metrics, metricsHandler(n.Registry)},
+	} {
+		l, err := net.Listen("tcp4", one.address.String())
+		if err != nil {
+			sv.close()
+			return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
+		}
+		sv.add(l, one.handler)
+	}
+	return sv, nil
+}
+
 // peerHandler serves the calls of other daemons, and the word.
 func (n *Node) peerHandler() http.Handler {
 	calls := &ffmeshpeer.Handler{Gate: n.Gate, Memory: n.Memory, Log: n.Log}
@@ -130,38 +128,6 @@
 	})
 }
 
-// plain returns a server of other daemons or of the platform.
-func (sv *servers) plain(h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: peerIdle}
-	sv.all = append(sv.all, s)
-	return s
-}
-
-// stopTaking closes the port of the clients and their idle connections. What was
-// accepted before is still served: http.Server.Shutdown would drop a request that
-// it has just read.
-func (sv *servers) stopTaking(ctx context.Context, log zerolog.Logger) {
-	if err := sv.port.Finish(ctx); err != nil {
-		log.Warn().Err(err).Msg("port of the clients closed at once")
-	}
-	sv.clients.CloseIdle()
-}
-
-func (sv *servers) close() {
-	for _, s := range sv.all {
-		_ = s.Close()
-	}
-	sv.clients.Close()
-}
-
-// ended returns why a server ended, nil if it was told to.
-func ended(err error) error {
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
-
 // changed takes up new content of the word.
 func (n *Node) changed(w *ffgossip.Word) {
 	n.Budget.Set(n.Settings.Load().Repeats, w.Fleet.Len())
