A target that was not measured yet is taken for one like the others

In the red runs the metrics of its gate tell 0.06 s to the end, those of the other 0.0001 s. Ruled out: late words (its entry was known), a slow first sample (there was none). Now a gate tells nothing before its first sample, and entries assume the mean of the measured targets. Red first: TestUnmeasuredTarget (200 of 200 to the old target) and TestUnmeasured.

--- a/internal/ffinbound/times.go
+++ b/internal/ffinbound/times.go
@@ -63,11 +63,12 @@
 	return t.overall
 }
 
-// faded returns the typical service time as others should see it.
+// faded returns the typical service time as others should see it; 0 when none was
+// measured.
 func (t *times) faded(now time.Time) time.Duration {
 	stale := now.Sub(t.sampled) - freshFor
-	if t.overall == 0 || stale <= 0 {
-		return t.typical()
+	if stale <= 0 {
+		return t.overall
 	}
 	return time.Duration(float64(t.overall) * math.Exp(-stale.Seconds()/staleMemory.Seconds()))
 }
--- a/internal/ffinbound/times_test.go
+++ b/internal/ffinbound/times_test.go
@@ -21,3 +21,11 @@
 		t.Error("the gate's own estimate faded")
 	}
 }
+
+// TestUnmeasured tells nothing of a target that has served nothing.
+func TestUnmeasured(t *testing.T) {
+	var s times
+	if got := s.faded(time.Now()); got != 0 {
+		t.Errorf("%v is told of a target that was not measured", got)
+	}
+}
--- a/internal/ffoutbound/decision_test.go
+++ b/internal/ffoutbound/decision_test.go
@@ -132,3 +132,29 @@
 		}
 	}
 }
+
+// TestUnmeasuredTarget tries a target that was not measured yet although another one
+// is idle and fast.
+func TestUnmeasuredTarget(t *testing.T) {
+	fleet := fffleet.New([]fffleet.Target{
+		{ID: "old", Service: "s", Address: netip.MustParseAddrPort("10.0.0.2:1"), Slots: 4},
+		{ID: "new", Service: "s", Address: netip.MustParseAddrPort("10.0.0.3:1"), Slots: 4},
+	})
+	now := time.Now()
+	board := &ffoutbound.Board{}
+	board.Hear(netip.MustParseAddr("10.0.0.2"), ffmesh.Load{Target: "old", Slots: 4, Typical: time.Millisecond}, false, now, now.Add(time.Minute))
+	board.Hear(netip.MustParseAddr("10.0.0.3"), ffmesh.Load{Target: "new", Slots: 4}, false, now, now.Add(time.Minute))
+	picker := &ffoutbound.Picker{Place: ffoutbound.Place{VM: netip.MustParseAddr("10.0.0.1")}, Board: board}
+	picked := make(map[string]int)
+	const picks = 200
+	for range picks {
+		choice, ok := picker.Pick(fleet, &ffmesh.Call{Service: "s", Objective: now.Add(time.Second), Deadline: now.Add(time.Second)}, nil, now)
+		if !ok {
+			t.Fatal("no target was picked")
+		}
+		picked[choice.Target.ID]++
+	}
+	if picked["new"] < picks/4 || picked["old"] < picks/4 {
+		t.Errorf("picked %v of %d", picked, picks)
+	}
+}
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// unknownTypical is assumed for a gate that has not told its service time.
+	// unknownTypical is assumed while no target of a service was measured.
 	unknownTypical = 60 * time.Millisecond
 	// Costs of the way to another VM, and of bytes to another data centre.
 	sameCentreCost  = 500 * time.Microsecond
@@ -69,16 +69,41 @@
 
 // Pick returns the cheapest target of a service that is not in tried.
 func (p *Picker) Pick(fleet fffleet.Fleet, c *ffmesh.Call, tried map[string]bool, now time.Time) (Choice, bool) {
-	var best Choice
-	for _, t := range p.sample(fleet.Serving(c.Service), c, tried) {
-		best.Candidates++
-		f := p.Board.get(t.VM())
-		cost, wait := p.cost(t, &f, c, now)
-		if best.Candidates == 1 || cost < best.Cost {
+	targets := p.sample(fleet.Serving(c.Service), c, tried)
+	facts := make([]fact, len(targets))
+	for i, t := range targets {
+		facts[i] = p.Board.get(t.VM())
+	}
+	assumed := assumedTypical(targets, facts)
+	best := Choice{Candidates: len(targets)}
+	for i, t := range targets {
+		f := &facts[i]
+		cost, wait := p.cost(t, f, c, assumed, now)
+		if i == 0 || cost < best.Cost {
 			best.Target, best.Cost, best.Wait, best.Age = t, cost, wait, now.Sub(f.learned)
 		}
 	}
-	return best, best.Candidates > 0
+	return best, len(targets) > 0
+}
+
+// measured reports whether f tells the service time of t.
+func (f *fact) measured(t fffleet.Target) bool { return f.load.Typical > 0 && f.load.Target == t.ID }
+
+// assumedTypical returns the service time of a target that was not measured yet:
+// the mean of those that were. A dearer guess would keep it from being tried.
+func assumedTypical(targets []fffleet.Target, facts []fact) time.Duration {
+	var sum time.Duration
+	n := 0
+	for i, t := range targets {
+		if facts[i].measured(t) {
+			sum += facts[i].load.Typical
+			n++
+		}
+	}
+	if n == 0 {
+		return unknownTypical
+	}
+	return sum / time.Duration(n)
 }
 
 // sample returns the targets to weigh: of many the own VM's, some near ones, and
@@ -111,11 +136,12 @@
 	return open[:weighed]
 }
 
-// cost returns what a call to t likely costs in time, and how much of it is waiting.
-func (p *Picker) cost(t fffleet.Target, f *fact, c *ffmesh.Call, now time.Time) (cost, wait time.Duration) {
+// cost returns what a call to t likely costs in time, and how much of it is
+// waiting. A target that was not measured is taken for one of the assumed time.
+func (p *Picker) cost(t fffleet.Target, f *fact, c *ffmesh.Call, assumed time.Duration, now time.Time) (cost, wait time.Duration) {
 	typical, slots := f.load.Typical, max(t.Slots, 1)
-	if typical == 0 || f.load.Target != t.ID {
-		typical = unknownTypical
+	if !f.measured(t) {
+		typical = assumed
 	}
 	outstanding := f.load.Running + f.load.Queued + f.since
 	wait = time.Duration(max(outstanding+1-slots, 0)) * typical / time.Duration(slots)
