--- a/internal/ffmeshsoak/enum_string.go
+++ b/internal/ffmeshsoak/enum_string.go
@@ -11,11 +11,12 @@
 	_ = x[KindUnknown-0]
 	_ = x[KindStart-1]
 	_ = x[KindFault-2]
+	_ = x[KindEnded-3]
 }
 
-const _Kind_name = "unknownstartfault"
+const _Kind_name = "unknownstartfaultended early"
 
-var _Kind_index = [...]uint8{0, 7, 12, 17}
+var _Kind_index = [...]uint8{0, 7, 12, 17, 28}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
@@ -24,7 +25,6 @@
 	}
 	return _Kind_name[_Kind_index[idx]:_Kind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -54,7 +54,6 @@
 	}
 	return _Fault_name[_Fault_index[idx]:_Fault_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/internal/ffmeshsoak/error.go
+++ b/internal/ffmeshsoak/error.go
@@ -12,6 +12,7 @@
 	KindUnknown Kind = iota // unknown
 	KindStart               // start
 	KindFault               // fault
+	KindEnded               // ended early
 )
 
 // Error is a failure to run a soak.
--- a/internal/ffmeshsoak/soak.go
+++ b/internal/ffmeshsoak/soak.go
@@ -40,7 +40,8 @@
 	VMs                int
 }
 
-// Run soaks a mesh and returns everything that was seen.
+// Run soaks a mesh and returns everything that was seen. A soak that is ended early
+// shows nothing and is an error.
 func Run(ctx context.Context, o Options) (*Record, error) {
 	f, err := newFleet(o.Program, o.Directory, o.VMs)
 	if err != nil {
@@ -52,19 +53,25 @@
 	}
 	out := &recorder{}
 	out.rec.Seed, out.rec.Started = o.Seed, time.Now()
-	ctx, cancel := context.WithCancel(ctx)
+	running, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var background sync.WaitGroup
-	background.Go(func() { f.runBeats(ctx) })
+	background.Go(func() { f.runBeats(running) })
 	for i := range o.VMs * clientsEach {
 		c := &client{name: fmt.Sprint("c", i), vm: i % o.VMs, at: f.vms[i%o.VMs].place.Callers, f: f, out: out, rand: rand.New(rand.NewPCG(o.Seed, uint64(i)+2))}
-		background.Go(func() { c.run(ctx) })
+		background.Go(func() { c.run(running) })
 	}
-	f.harm(ctx, Draw(o.Seed, o.For, o.VMs), out)
+	f.harm(running, Draw(o.Seed, o.For, o.VMs), out)
 	out.rec.Faulty = time.Now()
-	<-time.After(max(time.Until(out.rec.Started.Add(o.For)), recoverWithin+calmTail))
+	select {
+	case <-time.After(max(time.Until(out.rec.Started.Add(o.For)), recoverWithin+calmTail)):
+	case <-ctx.Done():
+	}
 	cancel()
 	background.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{Op: "soak", Kind: KindEnded, Err: err}
+	}
 	<-time.After(lateTail)
 	out.rec.Ended = time.Now()
 	out.rec.Runs = f.runs()
--- a/internal/ffmeshsoak/soak_test.go
+++ b/internal/ffmeshsoak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -16,6 +18,8 @@
 	// soakTime is the length of each soak here; longer ones are run by hand.
 	soakTime = 18 * time.Second
 	soakVMs  = 5
+	// endAfter is when a soak that ends early is ended.
+	endAfter = 3 * time.Second
 )
 
 // TestSeeds soaks a mesh with each seed of testdata/seeds: one for every run, and
@@ -25,6 +29,23 @@
 // TestOpenSeeds soaks a mesh with the seeds that failed and whose cause is open.
 func TestOpenSeeds(t *testing.T) { soakSeeds(t, "testdata/open") }
 
+// TestEndedEarly gives no record of a soak that was ended before its time.
+func TestEndedEarly(t *testing.T) {
+	binaries := &ffprocess.Binaries{Directory: t.TempDir()}
+	program, err := binaries.Path(t.Context(), "fireflyfall")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(endAfter, cancel)
+	rec, err := ffmeshsoak.Run(ctx, ffmeshsoak.Options{
+		Program: program, Directory: t.TempDir(), Seed: 1, For: soakTime, VMs: soakVMs,
+	})
+	if rec != nil || !errors.Is(err, context.Canceled) {
+		t.Errorf("record %v, error %v", rec != nil, err)
+	}
+}
+
 // soakSeeds soaks a mesh with each seed of a file.
 func soakSeeds(t *testing.T, path string) {
 	t.Helper()
