Delegates read the store; a daemon that starts asks for an old list first

Change: package ffdelegate decides without clocks. The reader is whoever read last, until one before it in order reads too; three delegates of each data centre take over; others read when those have failed, spread out, and leave an outage to the delegates. A daemon that starts reads the list of targets, which may be old and costs a tenth, makes itself known, and is answered at once. The order of readers comes from the list, no longer from heartbeats heard. Heartbeats carry who read; a fleet of mixed versions does not understand them.

The rest: of two readers none heard of the other, since each read makes the other's word look old.

--- /dev/null
+++ b/internal/ffdelegate/turn.go
@@ -0,0 +1,109 @@
+package ffdelegate
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// readInterval is the time between two reads of the reader.
+	readInterval = 250 * time.Millisecond
+	// aloneInterval replaces it for a reader that no other daemon hears.
+	aloneInterval = time.Second
+	// missedReads is the number of reads that a delegate lets the reader miss.
+	missedReads = 2
+	// spreadTime is how long a confirmation takes to reach all daemons of a small
+	// fleet, spreadTimeLarge of one with more than smallFleet members.
+	spreadTime      = 300 * time.Millisecond
+	spreadTimeLarge = 500 * time.Millisecond
+	smallFleet      = 16
+	// rankDelay is the additional wait of each further delegate, and maxRankDelay the
+	// upper limit of the sum.
+	rankDelay    = 60 * time.Millisecond
+	maxRankDelay = 400 * time.Millisecond
+	// lastResortAge is the age of the snapshot at which a daemon that is not a delegate
+	// reads, at the earliest; lastResortAgeAlone applies to one that hears no other.
+	// lastResortSpread is the time over which such reads are spread.
+	lastResortAge      = 1600 * time.Millisecond
+	lastResortAgeAlone = 1200 * time.Millisecond
+	lastResortSpread   = 400 * time.Millisecond
+	// silentAfter is the time without a heartbeat after which a daemon counts as alone.
+	silentAfter = 700 * time.Millisecond
+)
+
+const (
+	// minBackoff is the mean wait of a delegate after its first failed read. It doubles
+	// with each further one, maxDoublings times at most, up to maxBackoff.
+	minBackoff   = 150 * time.Millisecond
+	maxBackoff   = 1200 * time.Millisecond
+	maxDoublings = 4
+	// lastResortBackoff is the mean wait of a daemon that is not a delegate.
+	lastResortBackoff = 3 * time.Second
+)
+
+// Turn is what a daemon knows when it decides when to read the store again.
+type Turn struct {
+	Place Place
+	// Members is the number of daemons, this one included.
+	Members int
+	// ConfirmedAt is when the daemon's snapshot was last known to be current.
+	ConfirmedAt time.Time
+	// Reader reports whether this daemon is the reader, which read last at ReadAt.
+	Reader bool
+	ReadAt time.Time
+	// HeardAt is when the last heartbeat of another daemon arrived.
+	HeardAt time.Time
+	// Jitter is a random number from 0 to 1 that differs between daemons.
+	Jitter float64
+}
+
+// Due returns when the daemon reads, unless others refresh its snapshot before.
+func (t Turn) Due(now time.Time) time.Time {
+	alone := now.Sub(t.HeardAt) > silentAfter
+	switch {
+	case t.Reader && alone && t.Members > 1:
+		return t.ReadAt.Add(aloneInterval)
+	case t.Reader || t.Place.Rank == 0 && t.Members <= smallFleet:
+		return t.ReadAt.Add(readInterval)
+	case t.Place.Delegate():
+		return t.ConfirmedAt.Add(t.delegateAge())
+	case alone:
+		return t.ConfirmedAt.Add(lastResortAgeAlone + t.spread(lastResortSpread))
+	}
+	return t.ConfirmedAt.Add(lastResortAge + t.spread(lastResortSpread))
+}
+
+// delegateAge is the age of the snapshot at which a delegate reads.
+func (t Turn) delegateAge() time.Duration {
+	age := missedReads*readInterval + spreadTime
+	if t.Members > smallFleet {
+		age = missedReads*readInterval + spreadTimeLarge
+	}
+	return age + min(time.Duration(t.Place.Rank)*rankDelay, maxRankDelay)
+}
+
+// spread returns the part of d that falls to this daemon.
+func (t Turn) spread(d time.Duration) time.Duration {
+	return time.Duration(t.Jitter * float64(d))
+}
+
+// ReaderAfter returns the daemon that is the reader for self after a read by another
+// daemon confirmed the snapshot. Of two daemons that both read, the second in order
+// stops.
+func ReaderAfter(self, current, by netip.Addr) netip.Addr {
+	if current == self && !Precedes(by, self) {
+		return self
+	}
+	return by
+}
+
+// RetryAfter returns how long a daemon waits after failed reads; random is from 0 to 1.
+// Those that are not delegates leave it to the others to find out when the store is
+// available again.
+func (p Place) RetryAfter(failures int, random float64) time.Duration {
+	pause := min(minBackoff<<min(max(failures-1, 0), maxDoublings), maxBackoff)
+	if !p.Delegate() {
+		pause = lastResortBackoff
+	}
+	return pause/2 + time.Duration(random*float64(pause))
+}
--- a/internal/ffgossip/heartbeat.go
+++ b/internal/ffgossip/heartbeat.go
@@ -1,6 +1,7 @@
 package ffgossip
 
 import (
+	"net/netip"
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
@@ -24,6 +25,8 @@
 	// Age is the age of the snapshot when the heartbeat was sent.
 	Age    time.Duration
 	Digest string
+	// ReadBy is the VM of the daemon whose read confirmed the snapshot.
+	ReadBy netip.Addr
 }
 
 const (
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -12,6 +12,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"fireflyfall.dev/fireflyfall/internal/ffdelegate"
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
 	"fireflyfall.dev/fireflyfall/internal/ffhop"
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 )
@@ -31,9 +33,6 @@
 	maxPullTime = 3 * time.Second
 	// maxPendingPulls is the maximum number of queued pulls.
 	maxPendingPulls = 8
-	// presumeLiveFor is how long after its start a daemon presumes others to be live
-	// from which it has not received a heartbeat.
-	presumeLiveFor = 1500 * time.Millisecond
 	// maxSpreadAll is the largest number of peers to which a daemon sends a change all
 	// at once. If there are more, it sends it to spreadSample random peers, which
 	// forward it.
@@ -59,10 +58,7 @@
 	Pool func(vm netip.Addr) *ffhop.Pool
 	Log  zerolog.Logger
 
-	conn *net.UDPConn
-	// presumeLiveUntil is when daemons that sent no heartbeat no longer count as live.
-	presumeLiveUntil time.Time
-
+	conn     *net.UDPConn
 	sequence atomic.Uint64
 	leaving  atomic.Bool
 	pulls    chan netip.Addr
@@ -83,10 +79,8 @@
 	}
 	n.conn = conn
 	n.pulls = make(chan netip.Addr, maxPendingPulls)
-	n.presumeLiveUntil = time.Now().Add(presumeLiveFor)
-	n.Reader.Rank = n.rank
-	n.Reader.HeartbeatInterval = func() time.Duration { return time.Duration(n.interval.Load()) }
-	n.Reader.OnRead = n.Spread
+	n.Reader.Others, n.Reader.HeardAt = n.others, n.Peers.HeardAt
+	n.Reader.OnList, n.Reader.OnChange = n.introduce, n.Spread
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){n.Reader.run, n.runHeartbeats, n.runPulls, n.runReceive} {
 		wg.Go(func() { task(ctx) })
@@ -97,21 +91,6 @@
 	return nil
 }
 
-// rank returns this daemon's rank in the order of readers, from 0. For a short time
-// after its start every VM with a target is presumed live; otherwise all daemons of
-// a fleet that starts at once would read the store until they had received each
-// other's heartbeats.
-func (n *Node) rank() int {
-	now := time.Now()
-	var presumed []Member
-	if now.Before(n.presumeLiveUntil) {
-		for _, t := range n.State.Fleet().All() {
-			presumed = append(presumed, Member{VM: t.VM(), DataCentre: t.DataCentre})
-		}
-	}
-	return n.Peers.Rank(Member{VM: n.Listen.Addr(), DataCentre: n.DataCentre}, presumed, now)
-}
-
 // Leave announces to the others that the daemon is shutting down.
 func (n *Node) Leave() {
 	n.leaving.Store(true)
@@ -129,23 +108,30 @@
 	n.send(vms)
 }
 
-// targets returns the other VMs: those with a target and those that sent heartbeats.
-func (n *Node) targets() []netip.Addr {
-	own := n.Listen.Addr()
-	seen := map[netip.Addr]bool{own: true}
-	var vms []netip.Addr
-	add := func(vm netip.Addr) {
-		if !seen[vm] {
-			seen[vm] = true
-			vms = append(vms, vm)
-		}
-	}
-	for _, t := range n.State.Fleet().All() {
-		add(t.VM())
+// others returns the other daemons of the fleet that are not leaving.
+func (n *Node) others() []ffdelegate.Member {
+	return n.Peers.Others(n.Listen.Addr(), n.State.Fleet().All())
+}
+
+// introduce makes this daemon known to those on the VMs of targets. A daemon that has
+// a snapshot answers at once.
+func (n *Node) introduce(targets []fffleet.Target) {
+	members := make([]ffdelegate.Member, 0, len(targets))
+	for _, t := range targets {
+		members = append(members, ffdelegate.Member{VM: t.VM(), DataCentre: t.DataCentre})
 	}
-	for _, vm := range n.Peers.Known(time.Now()) {
-		add(vm)
+	n.Peers.Introduce(members)
+	n.Spread()
+}
+
+// targets returns the other VMs to send heartbeats to.
+func (n *Node) targets() []netip.Addr {
+	others := n.others()
+	vms := make([]netip.Addr, 0, len(others))
+	for _, m := range others {
+		vms = append(vms, m.VM)
 	}
+	n.Peers.Forget(time.Now())
 	return vms
 }
 
@@ -189,6 +175,7 @@
 	}
 	if !w.ConfirmedAt.IsZero() {
 		h.Revision, h.Age, h.Digest = w.Revision, time.Since(w.ConfirmedAt), n.digest()
+		h.ReadBy = n.Reader.ReadBy()
 	}
 	return h
 }
@@ -250,11 +237,16 @@
 	}
 	n.OnHeartbeat(vm, h)
 	w := n.State.Snapshot()
+	if h.Digest == "" && !w.ConfirmedAt.IsZero() {
+		n.send([]netip.Addr{vm})
+	}
 	if h.Digest == "" || h.Revision < w.Revision {
 		return
 	}
 	if h.Digest == n.digest() {
-		n.State.Confirm(h.Revision, now.Add(-h.Age))
+		if n.State.Confirm(h.Revision, now.Add(-h.Age)) {
+			n.Reader.Confirmed(h.ReadBy)
+		}
 		return
 	}
 	select {
@@ -292,7 +284,11 @@
 		return
 	}
 	before := n.digest()
-	n.State.Merge(vm.String(), c.Revision, time.Now().Add(-c.Age), c.Table, c.fleet(known))
+	confirmed := time.Now().Add(-c.Age)
+	if confirmed.After(n.State.Snapshot().ConfirmedAt) {
+		n.Reader.Confirmed(peer.LastHeartbeat.ReadBy)
+	}
+	n.State.Merge(vm.String(), c.Revision, confirmed, c.Table, c.fleet(known))
 	if n.digest() != before {
 		n.Spread()
 	}
--- a/internal/ffgossip/peers.go
+++ b/internal/ffgossip/peers.go
@@ -1,29 +1,28 @@
 package ffgossip
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"fireflyfall.dev/fireflyfall/internal/ffdelegate"
+	"fireflyfall.dev/fireflyfall/internal/fffleet"
 )
 
 // Peer is the state of another daemon according to its heartbeats.
 type Peer struct {
-	VM         netip.Addr
-	ReceivedAt time.Time
-	// LiveUntil is when the daemon no longer counts as live.
-	LiveUntil     time.Time
+	VM            netip.Addr
+	ReceivedAt    time.Time
 	LastHeartbeat Heartbeat
 }
 
 // Peers holds the daemons from which heartbeats were received. The zero value is
 // empty.
 type Peers struct {
-	mu    sync.Mutex
-	peers map[netip.Addr]*Peer
+	mu         sync.Mutex
+	peers      map[netip.Addr]*Peer
+	introduced []ffdelegate.Member
+	heardAt    time.Time
 }
 
 // forgetAfter is how long after its last heartbeat a daemon is kept.
@@ -41,10 +40,18 @@
 	if ok && known.LastHeartbeat.Incarnation == h.Incarnation && h.Sequence <= known.LastHeartbeat.Sequence {
 		return false
 	}
-	p.peers[vm] = &Peer{VM: vm, ReceivedAt: now, LiveUntil: h.SilentAt(now), LastHeartbeat: h}
+	p.peers[vm] = &Peer{VM: vm, ReceivedAt: now, LastHeartbeat: h}
+	p.heardAt = now
 	return true
 }
 
+// HeardAt returns when the last heartbeat arrived.
+func (p *Peers) HeardAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heardAt
+}
+
 // Get returns the state of the daemon on a VM.
 func (p *Peers) Get(vm netip.Addr) (Peer, bool) {
 	p.mu.Lock()
@@ -56,72 +63,47 @@
 	return *known, true
 }
 
-// Known returns the addresses of the known daemons, and removes those without a
-// heartbeat for longer than forgetAfter.
-func (p *Peers) Known(now time.Time) []netip.Addr {
+// Forget removes the daemons without a heartbeat for longer than forgetAfter.
+func (p *Peers) Forget(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var vms []netip.Addr
 	for vm, peer := range p.peers {
 		if now.Sub(peer.ReceivedAt) > forgetAfter {
 			delete(p.peers, vm)
-			continue
 		}
-		vms = append(vms, vm)
 	}
-	return vms
 }
 
-// Member is a daemon in the order of readers.
-type Member struct {
-	VM         netip.Addr
-	DataCentre string
+// Introduce records the daemons that probably exist according to an outdated list.
+func (p *Peers) Introduce(members []ffdelegate.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.introduced = members
 }
 
-// Rank returns the rank of the daemon self in the order of readers, from 0. The
-// order covers the live daemons that are not leaving and, of those presumed live,
-// the ones from which no heartbeat is known. It is by hash, with the first daemon of
-// each data centre before the second of any.
-func (p *Peers) Rank(self Member, presumed []Member, now time.Time) int {
-	members := []Member{self}
+// Others returns the daemons other than self on the VMs of targets, or those introduced
+// if there are no targets, and the known ones. Daemons that are leaving are left out.
+func (p *Peers) Others(self netip.Addr, targets []fffleet.Target) []ffdelegate.Member {
 	p.mu.Lock()
-	for _, peer := range p.peers {
-		if now.Before(peer.LiveUntil) && !peer.LastHeartbeat.Leaving {
-			members = append(members, Member{VM: peer.VM, DataCentre: peer.LastHeartbeat.DataCentre})
+	defer p.mu.Unlock()
+	all := make([]ffdelegate.Member, 0, len(targets)+len(p.peers))
+	seen := map[netip.Addr]bool{self: true}
+	add := func(m ffdelegate.Member) {
+		if known := p.peers[m.VM]; !seen[m.VM] && (known == nil || !known.LastHeartbeat.Leaving) {
+			seen[m.VM] = true
+			all = append(all, m)
 		}
 	}
-	for _, m := range presumed {
-		if _, known := p.peers[m.VM]; !known {
-			members = append(members, m)
-		}
+	for _, t := range targets {
+		add(ffdelegate.Member{VM: t.VM(), DataCentre: t.DataCentre})
 	}
-	p.mu.Unlock()
-	return rankOf(self, members)
-}
-
-// ranked is a member with its sort keys.
-type ranked struct {
-	member Member
-	hash   uint64
-	// round is the number of members of the same data centre with a smaller hash.
-	round int
-}
-
-func rankOf(self Member, members []Member) int {
-	order := make([]ranked, 0, len(members))
-	seen := make(map[netip.Addr]bool, len(members))
-	for _, m := range members {
-		if !seen[m.VM] {
-			seen[m.VM] = true
-			order = append(order, ranked{member: m, hash: xxhash.Sum64(m.VM.AsSlice())})
-		}
+	for _, peer := range p.peers {
+		add(ffdelegate.Member{VM: peer.VM, DataCentre: peer.LastHeartbeat.DataCentre})
 	}
-	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
-	counts := make(map[string]int)
-	for i, o := range order {
-		order[i].round = counts[o.member.DataCentre]
-		counts[o.member.DataCentre]++
+	if len(targets) == 0 {
+		for _, m := range p.introduced {
+			add(m)
+		}
 	}
-	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(a.round, b.round) })
-	return slices.IndexFunc(order, func(o ranked) bool { return o.member.VM == self.VM })
+	return all
 }
--- a/internal/ffgossip/source.go
+++ b/internal/ffgossip/source.go
@@ -10,6 +10,9 @@
 
 // Source is the platform's store. Its methods call progress whenever bytes arrive.
 type Source interface {
+	// Targets returns the targets of a list that may be seconds old, at a fraction of
+	// the cost of Read.
+	Targets(ctx context.Context) ([]fffleet.Target, error)
 	// Read returns the configuration and all targets.
 	Read(ctx context.Context, progress func()) (*StoreContent, error)
 	// Changes returns the changes after a revision and waits up to wait for the first
--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -157,13 +157,14 @@
 	}
 }
 
-// Confirm records that the current content was still valid at a later revision.
-func (s *State) Confirm(revision uint64, confirmed time.Time) {
+// Confirm records that the current content was still valid at a later revision, and
+// reports whether that was news.
+func (s *State) Confirm(revision uint64, confirmed time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.Snapshot()
-	if revision < old.Revision || confirmed.Before(old.ConfirmedAt) {
-		return
+	if revision < old.Revision || !confirmed.After(old.ConfirmedAt) {
+		return false
 	}
 	next := *old
 	next.Revision = revision
@@ -171,6 +172,7 @@
 	s.holdMissing(old, s.listed, time.Now())
 	next.Fleet = s.listed.Union(s.held)
 	s.publish("confirmation", old, &next)
+	return true
 }
 
 // recentTable returns the configuration of version n if it is kept, or nil.
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"fireflyfall.dev/fireflyfall/internal/ffdelegate"
 	"fireflyfall.dev/fireflyfall/internal/ffgossip"
 	"fireflyfall.dev/fireflyfall/internal/ffhop"
 	"fireflyfall.dev/fireflyfall/internal/ffinbound"
@@ -93,8 +94,9 @@
 	}
 }
 
-func provideReader(source ffgossip.Source, state *ffgossip.State, log zerolog.Logger) *ffgossip.Reader {
-	return &ffgossip.Reader{Source: source, State: state, Log: log}
+func provideReader(s Settings, source ffgossip.Source, state *ffgossip.State, log zerolog.Logger) *ffgossip.Reader {
+	self := ffdelegate.Member{VM: s.PeerAddress.Addr(), DataCentre: s.DataCentre}
+	return &ffgossip.Reader{Source: source, State: state, Self: self, Log: log}
 }
 
 func provideNode(
--- a/internal/ffnode/wire_gen.go
+++ b/internal/ffnode/wire_gen.go
@@ -27,7 +27,7 @@
 	loadTracker := &ffoutbound.LoadTracker{}
 	picker := providePicker(s, loadTracker)
 	retryBudget := provideBudget(s)
-	reader := provideReader(source, state, log)
+	reader := provideReader(s, source, state, log)
 	registry, err := provideRegistry(state, reader, gate, retryBudget)
 	if err != nil {
 		return nil, err
