Heartbeats to callers and a few others; readers yield to each other

Change: package ffpartner decides who gets a heartbeat: all in a fleet of up to 17, else ten each 250 ms: six entries that called this gate lately, in turn, two random daemons of other data centres, the rest random ones of the own. A heartbeat says when the next is planned, or that none is. A daemon yields to a reader before it in order whose read is recent, whatever the revision. Only daemons that are listed are delegates. A new reader announces itself at once.

--- a/internal/ffdelegate/fleet_test.go
+++ b/internal/ffdelegate/fleet_test.go
@@ -12,7 +12,8 @@
 	"fireflyfall.dev/fireflyfall/internal/ffdelegate"
 )
 
-// scenario is a fleet whose daemons all have a snapshot at the start, and its fault.
+// scenario is a fleet whose daemons all have a snapshot at the start, the first of them
+// being the reader, and its fault.
 type scenario struct {
 	Name                 string
 	Members, DataCentres int
@@ -32,7 +33,10 @@
 const (
 	tick              = 10 * time.Millisecond
 	heartbeatInterval = 250 * time.Millisecond
-	heartbeatFanOut   = 10
+	// heartbeatFanOut is the number of daemons that get a heartbeat at once, and
+	// farFanOut of those the ones in any data centre.
+	heartbeatFanOut = 10
+	farFanOut       = 2
 )
 
 // daemon is a simulated daemon.
@@ -68,6 +72,9 @@
 		d.turn = ffdelegate.Turn{
 			Place: ffdelegate.PlaceOf(member, members), Members: s.Members, ConfirmedAt: m.now, HeardAt: m.now, Jitter: m.rng.Float64(),
 		}
+		if d.turn.Place.Rank == 0 {
+			d.readBy = member.VM
+		}
 		m.daemons = append(m.daemons, d)
 	}
 	return m
@@ -86,7 +93,7 @@
 			if d.killed {
 				continue
 			}
-			m.read(d, down)
+			m.read(d, down, cut)
 			if phase := time.Duration(i) * tick % heartbeatInterval; m.now.Sub(start)%heartbeatInterval == phase {
 				m.sendHeartbeats(d, cut)
 			}
@@ -104,8 +111,8 @@
 	}
 }
 
-// read lets d read the store if it is due.
-func (m *simulation) read(d *daemon, down bool) {
+// read lets d read the store if it is due. A daemon that becomes the reader announces it.
+func (m *simulation) read(d *daemon, down, cut bool) {
 	d.turn.Reader = d.readBy == d.member.VM
 	if m.now.Before(d.backoffUntil) || d.turn.Due(m.now).After(m.now) {
 		return
@@ -117,20 +124,34 @@
 		return
 	}
 	d.failures = 0
-	d.turn.ReadAt, d.turn.ConfirmedAt, d.readBy = m.now, m.now, d.member.VM
+	d.turn.ReadAt = m.now.Add(time.Duration(m.rng.IntN(5)) * tick)
+	d.turn.ConfirmedAt, d.readBy = m.now, d.member.VM
+	if !d.turn.Reader {
+		m.sendHeartbeats(d, cut)
+	}
 }
 
-// sendHeartbeats sends the age of d's snapshot to random daemons.
+// sendHeartbeats sends the age of d's snapshot to random daemons, most of them in its
+// data centre.
 func (m *simulation) sendHeartbeats(d *daemon, cut bool) {
-	for range heartbeatFanOut {
+	for n := range heartbeatFanOut {
 		to := m.daemons[m.rng.IntN(len(m.daemons))]
+		for n >= farFanOut && to.member.DataCentre != d.member.DataCentre {
+			to = m.daemons[m.rng.IntN(len(m.daemons))]
+		}
 		if to == d || to.killed || d.alone || to.alone || cut && to.cut != d.cut {
 			continue
 		}
 		to.turn.HeardAt = m.now
-		if d.turn.ConfirmedAt.After(to.turn.ConfirmedAt) {
-			to.turn.ConfirmedAt = d.turn.ConfirmedAt
-			to.readBy = ffdelegate.ReaderAfter(to.member.VM, to.readBy, d.readBy)
+		if to.readBy == to.member.VM && ffdelegate.Yields(to.member.VM, d.readBy, m.now.Sub(d.turn.ConfirmedAt)) {
+			to.readBy = d.readBy
+		}
+		if !d.turn.ConfirmedAt.After(to.turn.ConfirmedAt) {
+			continue
+		}
+		to.turn.ConfirmedAt = d.turn.ConfirmedAt
+		if to.readBy != to.member.VM {
+			to.readBy = d.readBy
 		}
 	}
 }
--- a/internal/ffdelegate/place.go
+++ b/internal/ffdelegate/place.go
@@ -25,11 +25,14 @@
 	Rank int
 	// Round is the number of members of its own data centre before it.
 	Round int
+	// Listed reports whether the daemon is a member itself.
+	Listed bool
 }
 
 // Delegate reports whether the daemon takes over when the reader fails. Others read
-// only when all delegates have failed.
-func (p Place) Delegate() bool { return p.Round < delegatesPerDataCentre }
+// only when all delegates have failed. While the list of members still grows, daemons
+// that are not listed would all take themselves for delegates.
+func (p Place) Delegate() bool { return p.Listed && p.Round < delegatesPerDataCentre }
 
 // Precedes reports whether the daemon on a comes before the one on b when both read.
 func Precedes(a, b netip.Addr) bool { return hashOf(a) < hashOf(b) }
@@ -43,8 +46,7 @@
 	round  int
 }
 
-// PlaceOf returns the place of self among members. Members may include self and may
-// repeat.
+// PlaceOf returns the place of self among members. Members may repeat.
 func PlaceOf(self Member, members []Member) Place {
 	order := make([]ranked, 0, len(members)+1)
 	seen := make(map[netip.Addr]bool, len(members)+1)
@@ -62,5 +64,5 @@
 	}
 	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(a.round, b.round) })
 	i := slices.IndexFunc(order, func(o ranked) bool { return o.member.VM == self.VM })
-	return Place{Rank: i, Round: order[i].round}
+	return Place{Rank: i, Round: order[i].round, Listed: slices.Contains(members, self)}
 }
--- a/internal/ffdelegate/turn.go
+++ b/internal/ffdelegate/turn.go
@@ -27,6 +27,9 @@
 	lastResortAge      = 1600 * time.Millisecond
 	lastResortAgeAlone = 1200 * time.Millisecond
 	lastResortSpread   = 400 * time.Millisecond
+	// recentRead is the age up to which a read shows that its daemon still reads. It is
+	// less than the age at which a delegate takes over.
+	recentRead = 700 * time.Millisecond
 	// silentAfter is the time without a heartbeat after which a daemon counts as alone.
 	silentAfter = 700 * time.Millisecond
 )
@@ -87,14 +90,10 @@
 	return time.Duration(t.Jitter * float64(d))
 }
 
-// ReaderAfter returns the daemon that is the reader for self after a read by another
-// daemon confirmed the snapshot. Of two daemons that both read, the second in order
-// stops.
-func ReaderAfter(self, current, by netip.Addr) netip.Addr {
-	if current == self && !Precedes(by, self) {
-		return self
-	}
-	return by
+// Yields reports whether self, which reads, leaves it to another daemon that last read
+// age ago. The second in order of two daemons that both read stops.
+func Yields(self, other netip.Addr, age time.Duration) bool {
+	return age < recentRead && Precedes(other, self)
 }
 
 // RetryAfter returns how long a daemon waits after failed reads; random is from 0 to 1.
--- a/internal/ffgossip/heartbeat.go
+++ b/internal/ffgossip/heartbeat.go
@@ -16,7 +16,7 @@
 	// Incarnation differs between two runs of a daemon.
 	Incarnation uint64
 	Sequence    uint64
-	// Every is the time until the next heartbeat to the same peer.
+	// Every is the time until the next heartbeat to the same peer; 0 if none is planned.
 	Every time.Duration
 	// Leaving reports that the daemon is shutting down.
 	Leaving  bool
@@ -38,7 +38,10 @@
 )
 
 // SilentAt returns when a daemon counts as silent if h, received at now, stays its
-// last heartbeat.
+// last heartbeat. The time is zero if no further heartbeat is planned.
 func (h *Heartbeat) SilentAt(now time.Time) time.Time {
-	return now.Add(missedHeartbeats*max(h.Every, heartbeatInterval) + heartbeatSlack)
+	if h.Every == 0 {
+		return time.Time{}
+	}
+	return now.Add(missedHeartbeats*h.Every + heartbeatSlack)
 }
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -16,15 +16,10 @@
 	"fireflyfall.dev/fireflyfall/internal/fffleet"
 	"fireflyfall.dev/fireflyfall/internal/ffhop"
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+	"fireflyfall.dev/fireflyfall/internal/ffpartner"
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats to the same peer in a small
-	// fleet.
-	heartbeatInterval = 250 * time.Millisecond
-	// heartbeatRate is the maximum number of periodic heartbeats that a daemon sends per
-	// second.
-	heartbeatRate = 64
 	// maxDatagram is the size of the longest heartbeat that can be received, in bytes.
 	maxDatagram = 1400
 	// pullIdleTimeout is how long a pull may receive no bytes.
@@ -62,12 +57,9 @@
 	sequence atomic.Uint64
 	leaving  atomic.Bool
 	pulls    chan netip.Addr
-	nextPeer int
-	// interval is the time between two heartbeats to the same peer that heartbeatRate
-	// allows, in nanoseconds. In a small fleet it is less than heartbeatInterval, which
-	// applies instead.
-	interval atomic.Int64
-	sendMu   sync.Mutex
+
+	mu   sync.Mutex
+	rota ffpartner.Rota
 }
 
 // Run exchanges heartbeats and snapshots until ctx ends. It fails when the address
@@ -79,8 +71,8 @@
 	}
 	n.conn = conn
 	n.pulls = make(chan netip.Addr, maxPendingPulls)
-	n.Reader.Others, n.Reader.HeardAt = n.others, n.Peers.HeardAt
-	n.Reader.OnList, n.Reader.OnChange = n.introduce, n.Spread
+	n.Reader.Others, n.Reader.HeardAt = n.members, n.Peers.HeardAt
+	n.Reader.OnList, n.Reader.OnNews = n.introduce, n.Spread
 	var wg sync.WaitGroup
 	for _, task := range []func(context.Context){n.Reader.run, n.runHeartbeats, n.runPulls, n.runReceive} {
 		wg.Go(func() { task(ctx) })
@@ -113,6 +105,13 @@
 	return n.Peers.Others(n.Listen.Addr(), n.State.Fleet().All())
 }
 
+// members returns the other daemons of the fleet that are not leaving, and of all
+// daemons those on the VMs of listed targets.
+func (n *Node) members() (others, listed []ffdelegate.Member) {
+	targets := n.State.Fleet().All()
+	return n.Peers.Others(n.Listen.Addr(), targets), n.Peers.Listed(targets)
+}
+
 // introduce makes this daemon known to those on the VMs of targets. A daemon that has
 // a snapshot answers at once.
 func (n *Node) introduce(targets []fffleet.Target) {
@@ -131,18 +130,27 @@
 	for _, m := range others {
 		vms = append(vms, m.VM)
 	}
-	n.Peers.Forget(time.Now())
 	return vms
 }
 
-// runHeartbeats sends heartbeats at a limited rate.
+// Called records a call of the entry on vm to this VM's gate.
+func (n *Node) Called(vm netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rota.Called(vm, time.Now())
+}
+
+// runHeartbeats sends a round of heartbeats at each interval.
 func (n *Node) runHeartbeats(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
+	ticker := time.NewTicker(ffpartner.Interval)
 	defer ticker.Stop()
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for {
-		vms := n.targets()
-		n.interval.Store(int64(len(vms)) * int64(time.Second) / heartbeatRate)
-		n.send(n.nextBatch(vms))
+		n.Peers.Forget(time.Now())
+		n.mu.Lock()
+		round := n.rota.Next(n.others(), n.DataCentre, time.Now(), rng)
+		n.mu.Unlock()
+		n.sendRound(round)
 		select {
 		case <-ctx.Done():
 			return
@@ -151,27 +159,12 @@
 	}
 }
 
-// nextBatch returns the VMs to send the next heartbeat to: all of vms or, if there
-// are more than heartbeatRate allows, a part of them in rotation.
-func (n *Node) nextBatch(vms []netip.Addr) []netip.Addr {
-	batchSize := int(heartbeatRate * heartbeatInterval / time.Second)
-	if len(vms) <= batchSize {
-		return vms
-	}
-	batch := make([]netip.Addr, 0, batchSize)
-	for range batchSize {
-		n.nextPeer = (n.nextPeer + 1) % len(vms)
-		batch = append(batch, vms[n.nextPeer])
-	}
-	return batch
-}
-
-func (n *Node) heartbeat() Heartbeat {
+// heartbeat returns a heartbeat to a peer that gets the next one after every.
+func (n *Node) heartbeat(every time.Duration) Heartbeat {
 	w := n.State.Snapshot()
 	h := Heartbeat{
 		Name: n.Name, DataCentre: n.DataCentre, Incarnation: n.Incarnation,
-		Sequence: n.sequence.Add(1), Leaving: n.leaving.Load(), Load: n.Load(),
-		Every: max(heartbeatInterval, time.Duration(n.interval.Load())),
+		Sequence: n.sequence.Add(1), Leaving: n.leaving.Load(), Load: n.Load(), Every: every,
 	}
 	if !w.ConfirmedAt.IsZero() {
 		h.Revision, h.Age, h.Digest = w.Revision, time.Since(w.ConfirmedAt), n.digest()
@@ -189,17 +182,32 @@
 	return w.Digest()
 }
 
+// send sends a heartbeat to each of vms, outside of the rounds.
 func (n *Node) send(vms []netip.Addr) {
-	n.sendMu.Lock()
-	defer n.sendMu.Unlock()
-	b, err := cbor.Marshal(n.heartbeat())
-	if err != nil {
-		n.Log.Error().Err(err).Msg("failed to encode a heartbeat")
-		return
+	round := make([]ffpartner.Heartbeat, 0, len(vms))
+	n.mu.Lock()
+	for _, vm := range vms {
+		round = append(round, ffpartner.Heartbeat{VM: vm, Every: n.rota.Planned(vm)})
 	}
+	n.mu.Unlock()
+	n.sendRound(round)
+}
+
+// sendRound sends heartbeats, and encodes those with the same plan once.
+func (n *Node) sendRound(round []ffpartner.Heartbeat) {
+	encoded := make(map[time.Duration][]byte)
 	failed := 0
-	for _, vm := range vms {
-		if _, err := n.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(vm, n.Listen.Port())); err != nil {
+	for _, to := range round {
+		b, ok := encoded[to.Every]
+		if !ok {
+			var err error
+			if b, err = cbor.Marshal(n.heartbeat(to.Every)); err != nil {
+				n.Log.Error().Err(err).Msg("failed to encode a heartbeat")
+				return
+			}
+			encoded[to.Every] = b
+		}
+		if _, err := n.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(to.VM, n.Listen.Port())); err != nil {
 			failed++
 		}
 	}
@@ -237,10 +245,14 @@
 	}
 	n.OnHeartbeat(vm, h)
 	w := n.State.Snapshot()
-	if h.Digest == "" && !w.ConfirmedAt.IsZero() {
-		n.send([]netip.Addr{vm})
+	if h.Digest == "" {
+		if !w.ConfirmedAt.IsZero() {
+			n.send([]netip.Addr{vm})
+		}
+		return
 	}
-	if h.Digest == "" || h.Revision < w.Revision {
+	n.Reader.Heard(h.ReadBy, h.Age)
+	if h.Revision < w.Revision {
 		return
 	}
 	if h.Digest == n.digest() {
--- a/internal/ffgossip/peers.go
+++ b/internal/ffgossip/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,26 +85,38 @@
 // Others returns the daemons other than self on the VMs of targets, or those introduced
 // if there are no targets, and the known ones. Daemons that are leaving are left out.
 func (p *Peers) Others(self netip.Addr, targets []fffleet.Target) []ffdelegate.Member {
+	all := p.Listed(targets)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := make([]ffdelegate.Member, 0, len(targets)+len(p.peers))
 	seen := map[netip.Addr]bool{self: true}
-	add := func(m ffdelegate.Member) {
-		if known := p.peers[m.VM]; !seen[m.VM] && (known == nil || !known.LastHeartbeat.Leaving) {
-			seen[m.VM] = true
-			all = append(all, m)
+	for _, m := range all {
+		seen[m.VM] = true
+	}
+	for vm, peer := range p.peers {
+		if !seen[vm] && !peer.LastHeartbeat.Leaving {
+			all = append(all, ffdelegate.Member{VM: vm, DataCentre: peer.LastHeartbeat.DataCentre})
 		}
 	}
+	return slices.DeleteFunc(all, func(m ffdelegate.Member) bool { return m.VM == self })
+}
+
+// Listed returns the daemons on the VMs of targets, or those introduced if there are no
+// targets. Daemons that are leaving are left out.
+func (p *Peers) Listed(targets []fffleet.Target) []ffdelegate.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	members := make([]ffdelegate.Member, 0, max(len(targets), len(p.introduced)))
 	for _, t := range targets {
-		add(ffdelegate.Member{VM: t.VM(), DataCentre: t.DataCentre})
-	}
-	for _, peer := range p.peers {
-		add(ffdelegate.Member{VM: peer.VM, DataCentre: peer.LastHeartbeat.DataCentre})
+		members = append(members, ffdelegate.Member{VM: t.VM(), DataCentre: t.DataCentre})
 	}
 	if len(targets) == 0 {
-		for _, m := range p.introduced {
-			add(m)
-		}
+		members = append(members, p.introduced...)
 	}
-	return all
+	seen := make(map[netip.Addr]bool, len(members))
+	return slices.DeleteFunc(members, func(m ffdelegate.Member) bool {
+		known := p.peers[m.VM]
+		repeated := seen[m.VM]
+		seen[m.VM] = true
+		return repeated || known != nil && known.LastHeartbeat.Leaving
+	})
 }
--- a/internal/ffgossip/read.go
+++ b/internal/ffgossip/read.go
@@ -41,11 +41,9 @@
 		return
 	}
 	r.turn.ReadAt = started
-	r.mu.Lock()
-	r.readBy = r.Self.VM
-	r.mu.Unlock()
-	if r.State.Snapshot().Digest() != digest && r.OnChange != nil {
-		r.OnChange()
+	takeover := r.becomeReader()
+	if (takeover || r.State.Snapshot().Digest() != digest) && r.OnNews != nil {
+		r.OnNews()
 	}
 }
 
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -34,14 +34,15 @@
 	Log    zerolog.Logger
 	// Self is this daemon.
 	Self ffdelegate.Member
-	// Others returns the other daemons of the fleet that are not leaving.
-	Others func() []ffdelegate.Member
+	// Others returns the other daemons of the fleet that are not leaving, and of all
+	// daemons those on the VMs of listed targets.
+	Others func() (others, listed []ffdelegate.Member)
 	// HeardAt returns when the last heartbeat of another daemon arrived.
 	HeardAt func() time.Time
 	// OnList is called with the targets that were found in place of a snapshot, and
-	// OnChange after each read that changed the snapshot.
-	OnList   func(targets []fffleet.Target)
-	OnChange func()
+	// OnNews after each read that changed the snapshot or made this daemon the reader.
+	OnList func(targets []fffleet.Target)
+	OnNews func()
 	// Reads and Failures count the successful and the failed reads.
 	Reads, Failures atomic.Int64
 
@@ -101,11 +102,11 @@
 	if now.Before(r.placeUntil) && r.start.Members > 1 {
 		return
 	}
-	others := r.Others()
+	others, listed := r.Others()
 	if len(others) > 0 && r.start.MetAt.IsZero() {
 		r.start.MetAt = now
 	}
-	place, jitter := ffdelegate.PlaceOf(r.Self, others), rand.Float64()
+	place, jitter := ffdelegate.PlaceOf(r.Self, listed), rand.Float64()
 	r.start.Place, r.start.Members, r.start.Jitter = place, len(others)+1, jitter
 	r.turn.Place, r.turn.Members, r.turn.Jitter = place, len(others)+1, jitter
 	r.placeUntil = now.Add(placeInterval)
@@ -134,11 +135,32 @@
 	return r.readBy
 }
 
+// Heard stops this daemon's reading if a daemon that precedes it read age ago.
+func (r *Reader) Heard(by netip.Addr, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.readBy == r.Self.VM && ffdelegate.Yields(r.Self.VM, by, age) {
+		r.readBy = by
+	}
+}
+
 // Confirmed records that a read by another daemon confirmed the snapshot.
 func (r *Reader) Confirmed(by netip.Addr) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readBy = ffdelegate.ReaderAfter(r.Self.VM, r.readBy, by)
+	if r.readBy != r.Self.VM {
+		r.readBy = by
+	}
+}
+
+// becomeReader records that this daemon read the store, and reports whether another
+// one did so before.
+func (r *Reader) becomeReader() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := r.readBy != r.Self.VM
+	r.readBy = r.Self.VM
+	return changed
 }
 
 // readList reads the list of targets to find the other daemons.
--- a/internal/ffgossip/state_test.go
+++ b/internal/ffgossip/state_test.go
@@ -129,7 +129,7 @@
 			if leaving >= 0 {
 				p.Record(vmAt(leaving), ffgossip.Heartbeat{Sequence: 2, Leaving: true}, time.Now())
 			}
-			return ffdelegate.PlaceOf(ffdelegate.Member{VM: vmAt(self), DataCentre: centres[self%len(centres)]}, p.Others(vmAt(self), targets))
+			return ffdelegate.PlaceOf(ffdelegate.Member{VM: vmAt(self), DataCentre: centres[self%len(centres)]}, p.Listed(targets))
 		}
 		var first []int
 		for i := range daemons {
--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -125,6 +125,9 @@
 			content.ServeHTTP(w, r)
 			return
 		}
+		if from, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+			n.Gossip.Called(from.Addr().Unmap())
+		}
 		calls.ServeHTTP(w, r)
 	})
 }
--- /dev/null
+++ b/internal/ffpartner/rota.go
@@ -0,0 +1,141 @@
+package ffpartner
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffdelegate"
+)
+
+const (
+	// Interval is the time between two rounds of heartbeats.
+	Interval = 250 * time.Millisecond
+	// maxPerRound is the largest number of heartbeats in a round, but in a fleet of at
+	// most smallFleet others all get one.
+	maxPerRound = 10
+	smallFleet  = 16
+	// minNearPerRound is the smallest number of heartbeats of a round to random daemons
+	// of the own data centre, and farPerRound the number to those of others: by them
+	// news spreads to all.
+	minNearPerRound = 2
+	farPerRound     = 2
+	// callerKept is how long after its last call an entry gets heartbeats regularly.
+	callerKept = 8 * time.Second
+)
+
+// Heartbeat is one heartbeat to send.
+type Heartbeat struct {
+	VM netip.Addr
+	// Every is the time until the next one to the same daemon; 0 if none is planned.
+	Every time.Duration
+}
+
+// Rota is the order in which daemons get heartbeats. The zero value is empty.
+type Rota struct {
+	// callers holds the time of the last call of each entry that calls this VM's gate.
+	callers map[netip.Addr]time.Time
+	// last is the caller that got the last regular heartbeat.
+	last netip.Addr
+	// planned holds the time between two heartbeats to each daemon that gets them
+	// regularly.
+	planned map[netip.Addr]time.Duration
+}
+
+// Planned returns the time between two heartbeats to vm; 0 if none are planned.
+func (r *Rota) Planned(vm netip.Addr) time.Duration { return r.planned[vm] }
+
+// Called records a call of the entry on vm.
+func (r *Rota) Called(vm netip.Addr, now time.Time) {
+	if r.callers == nil {
+		r.callers = make(map[netip.Addr]time.Time)
+	}
+	r.callers[vm] = now
+}
+
+// Next returns the heartbeats of the next round. others are the other daemons of the
+// fleet, which it reorders, and dataCentre is the own data centre.
+func (r *Rota) Next(others []ffdelegate.Member, dataCentre string, now time.Time, rng *rand.Rand) []Heartbeat {
+	if len(others) <= smallFleet {
+		return r.all(others)
+	}
+	callers := r.current(others, now)
+	r.plan(callers, roundsFor(len(callers))*Interval)
+	round := r.rotate(callers)
+	near, far := maxPerRound-farPerRound-len(round), farPerRound
+	rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, m := range others {
+		left := &far
+		if m.DataCentre == dataCentre {
+			left = &near
+		}
+		if *left > 0 && !slices.ContainsFunc(round, func(h Heartbeat) bool { return h.VM == m.VM }) {
+			*left--
+			round = append(round, Heartbeat{VM: m.VM, Every: r.planned[m.VM]})
+		}
+	}
+	return round
+}
+
+// all returns a heartbeat to each of the others.
+func (r *Rota) all(others []ffdelegate.Member) []Heartbeat {
+	vms := make([]netip.Addr, 0, len(others))
+	round := make([]Heartbeat, 0, len(others))
+	for _, m := range others {
+		vms = append(vms, m.VM)
+		round = append(round, Heartbeat{VM: m.VM, Every: Interval})
+	}
+	r.plan(vms, Interval)
+	return round
+}
+
+// plan replaces the plan by heartbeats to vms.
+func (r *Rota) plan(vms []netip.Addr, every time.Duration) {
+	r.planned = make(map[netip.Addr]time.Duration, len(vms))
+	for _, vm := range vms {
+		r.planned[vm] = every
+	}
+}
+
+// current forgets the entries that no longer call or exist, and returns the others in
+// order of address.
+func (r *Rota) current(others []ffdelegate.Member, now time.Time) []netip.Addr {
+	exists := make(map[netip.Addr]bool, len(others))
+	for _, m := range others {
+		exists[m.VM] = true
+	}
+	var callers []netip.Addr
+	for vm, at := range r.callers {
+		if now.Sub(at) > callerKept || !exists[vm] {
+			delete(r.callers, vm)
+			continue
+		}
+		callers = append(callers, vm)
+	}
+	slices.SortFunc(callers, netip.Addr.Compare)
+	return callers
+}
+
+// regularPerRound is the number of heartbeats in a round to entries that call.
+const regularPerRound = maxPerRound - minNearPerRound - farPerRound
+
+// roundsFor returns the number of rounds in which n callers get a heartbeat each.
+func roundsFor(n int) time.Duration {
+	return time.Duration(max(1, (n+regularPerRound-1)/regularPerRound))
+}
+
+// rotate returns the heartbeats to the callers whose turn it is.
+func (r *Rota) rotate(callers []netip.Addr) []Heartbeat {
+	first, _ := slices.BinarySearchFunc(callers, r.last, func(a, b netip.Addr) int {
+		return cmp.Or(a.Compare(b), -1)
+	})
+	var round []Heartbeat
+	for i := range min(len(callers), regularPerRound) {
+		vm := callers[(first+i)%len(callers)]
+		round = append(round, Heartbeat{VM: vm, Every: r.planned[vm]})
+		r.last = vm
+	}
+	return round
+}
