Bytes without end in an answer end the exchange, with bounded memory

A rejection, or an answer to another attempt, was read to the end of its body: without end, for ever.

Change: 64 KiB for a head and the interim answers before it, 64 KiB and 100 ms for a body that nobody needs. The outcome stays what the head said (not run), or unknown; the connection is closed. Targets, daemons and pulls go this way.

--- a/internal/ffgossip/fetch.go
+++ b/internal/ffgossip/fetch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -49,7 +48,7 @@
 		return nil, &Error{Op: "read a snapshot", Kind: KindDecode, Err: err}
 	}
 	c.Age = time.Duration(age)
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if err := e.Drain(resp); err != nil {
 		e.Abort()
 		return nil, &Error{Op: "read a snapshot", Kind: KindPull, Err: err}
 	}
--- a/internal/ffhop/conn.go
+++ b/internal/ffhop/conn.go
@@ -8,12 +8,18 @@
 	"time"
 )
 
-// readBufferSize is the size of a connection's read buffer, in bytes.
-const readBufferSize = 4096
+const (
+	// readBufferSize is the size of a connection's read buffer, in bytes.
+	readBufferSize = 4096
+	// maxHeadBytes is the maximum size of the head of an answer, in bytes, together with
+	// the interim answers before it.
+	maxHeadBytes = 64 << 10
+)
 
 // Conn is a client connection that carries one HTTP exchange at a time.
 type Conn struct {
 	net    net.Conn
+	head   *headReader
 	reader *bufio.Reader
 	// Unused reports that no exchange has been completed on the connection.
 	Unused    bool
@@ -22,7 +28,8 @@
 }
 
 func newConn(c net.Conn) *Conn {
-	return &Conn{net: c, reader: bufio.NewReaderSize(c, readBufferSize), Unused: true}
+	head := &headReader{r: c}
+	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), Unused: true}
 }
 
 // Close closes the connection.
--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -20,6 +20,12 @@
 	streamBufferSize = 16 << 10
 )
 
+// maxDrainBytes and maxDrainTime bound a body that is read only to reuse its connection.
+const (
+	maxDrainBytes = 64 << 10
+	maxDrainTime  = 100 * time.Millisecond
+)
+
 // lastChunk terminates a chunked body.
 const lastChunk = "0\r\n\r\n"
 
@@ -66,6 +72,7 @@
 // the whole request and never will.
 func (c *Conn) Start(ctx context.Context, r *Request) (*Exchange, error) {
 	e := &Exchange{conn: c, ctx: ctx, method: r.Method, release: c.interruptOnDone(ctx)}
+	c.head.begin()
 	if r.ContinueTimeout > 0 {
 		return e.startExpectContinue(r)
 	}
@@ -103,6 +110,7 @@
 		return nil, e.failUnacked(err)
 	}
 	if resp.StatusCode != http.StatusContinue {
+		e.conn.head.end()
 		e.earlyResponse = resp
 		return e, nil
 	}
@@ -233,6 +241,7 @@
 			return nil, e.fail("receive", err)
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			e.conn.head.end()
 			return resp, nil
 		}
 	}
@@ -253,6 +262,21 @@
 	return e.ctx.Err()
 }
 
+// Drain reads the rest of a body that nobody needs, so that the connection can be
+// reused. It fails for a body that is long, or that does not end soon.
+func (e *Exchange) Drain(resp *http.Response) error {
+	_ = e.conn.net.SetReadDeadline(time.Now().Add(maxDrainTime))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
+	_ = e.conn.net.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil:
+		return &Error{Op: "drain", Kind: KindBroken, Err: err}
+	case n == maxDrainBytes:
+		return &Error{Op: "drain", Kind: KindBroken, Err: errBodyTooLong}
+	}
+	return e.ctx.Err()
+}
+
 // Abort cancels the exchange and closes its connection.
 func (e *Exchange) Abort() {
 	e.release()
--- a/internal/ffinbound/send.go
+++ b/internal/ffinbound/send.go
@@ -86,7 +86,7 @@
 		switch verdict := g.Dialect.Classify(c, resp.StatusCode, resp.Header); verdict {
 		case ffmesh.VerdictOtherAttempt:
 			g.Log.Warn().Str("request", c.ID).Int("status", resp.StatusCode).Msg("skipped a response to another attempt")
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+			if err := e.Drain(resp); err != nil || resp.Close {
 				e.Abort()
 				return g.invalidResponse(c, "connection ended after a response to another attempt")
 			}
@@ -112,7 +112,7 @@
 
 // notRun returns the reply to a call that the target reports as not run.
 func (g *Gate) notRun(c *ffmesh.Call, e *ffhop.Exchange, resp *http.Response, verdict ffmesh.Verdict) *ffmesh.Reply {
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if err := e.Drain(resp); err != nil {
 		e.Abort()
 	} else {
 		g.finishExchange(e, resp)
