Entries use a part of the targets; a cut-off data centre is known as one

Cause: an entry chose among all 222 targets of a service, called each about every 20 s, and knew their load only from old heartbeats; it kept 200 idle connections.

Change: package ffsubset gives each entry 12 targets of its data centre and 6 of others, so that all targets have equally many entries (test at 60, 300 and 1,000). Three VMs of a data centre that fail with no contact to any other there cost as much as a silent VM, until there is contact again.

--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -109,7 +109,8 @@
 		Load: gate.Load,
 		OnHeartbeat: func(vm netip.Addr, h ffgossip.Heartbeat) {
 			now := time.Now()
-			board.RecordHeartbeat(vm, h.Load, h.Leaving, now, h.SilentAt(now))
+			from := ffoutbound.Location{VM: vm, DataCentre: h.DataCentre}
+			board.RecordHeartbeat(from, h.Load, h.Leaving, now, h.SilentAt(now))
 		},
 		Pool: client.Pool,
 		Log:  log,
--- a/internal/ffoutbound/board.go
+++ b/internal/ffoutbound/board.go
@@ -19,7 +19,8 @@
 type vmState struct {
 	load ffmesh.Load
 	// silentAt is when the VM counts as silent unless a heartbeat or a reply comes
-	// before; it is zero before the first heartbeat. loadAt is when load was received.
+	// before; it is zero while the VM has not announced any. loadAt is when load was
+	// received.
 	silentAt time.Time
 	loadAt   time.Time
 	// unreachableUntil is until when the VM is avoided after a call to it failed.
@@ -35,8 +36,9 @@
 // LoadTracker holds the load and the reachability of every gate. The zero value is empty
 // and ready to use.
 type LoadTracker struct {
-	mu  sync.Mutex
-	vms map[netip.Addr]*vmState
+	mu      sync.Mutex
+	vms     map[netip.Addr]*vmState
+	centres map[string]*centreState
 }
 
 // state returns the state of a VM, an empty one if the VM is new. The caller holds the
@@ -53,21 +55,44 @@
 	return s
 }
 
-// RecordHeartbeat stores the load from a heartbeat; the VM counts as silent from silentAt on.
-func (b *LoadTracker) RecordHeartbeat(vm netip.Addr, load ffmesh.Load, leaving bool, now, silentAt time.Time) {
+// centre returns the state of a data centre. The caller holds the lock.
+func (b *LoadTracker) centre(name string) *centreState {
+	if b.centres == nil {
+		b.centres = make(map[string]*centreState)
+	}
+	c, ok := b.centres[name]
+	if !ok {
+		c = &centreState{}
+		b.centres[name] = c
+	}
+	return c
+}
+
+// cutOff reports whether a data centre is probably unreachable.
+func (b *LoadTracker) cutOff(dataCentre string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(vm)
+	return b.centre(dataCentre).cutOff(now)
+}
+
+// RecordHeartbeat stores the load from a heartbeat; the VM counts as silent from silentAt
+// on, unless that is zero.
+func (b *LoadTracker) RecordHeartbeat(l Location, load ffmesh.Load, leaving bool, now, silentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.centre(l.DataCentre).contact(now)
+	s := b.state(l.VM)
 	s.load, s.leaving = load, leaving
 	s.loadAt, s.silentAt = now, silentAt
 	s.callsSince, s.bytesSince = 0, 0
 }
 
 // recordLoad stores the load that came with a reply, and marks the VM as reachable.
-func (b *LoadTracker) recordLoad(vm netip.Addr, load ffmesh.Load, now time.Time) {
+func (b *LoadTracker) recordLoad(l Location, load ffmesh.Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(vm)
+	b.centre(l.DataCentre).contact(now)
+	s := b.state(l.VM)
 	s.load, s.loadAt = load, now
 	if until := now.Add(liveAfterReply); !s.silentAt.IsZero() && s.silentAt.Before(until) {
 		s.silentAt = until
@@ -77,10 +102,11 @@
 }
 
 // markUnreachable marks a VM to be avoided for a while.
-func (b *LoadTracker) markUnreachable(vm netip.Addr, now time.Time) {
+func (b *LoadTracker) markUnreachable(l Location, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(vm).unreachableUntil = now.Add(unreachableFor)
+	b.centre(l.DataCentre).fail(l.VM)
+	b.state(l.VM).unreachableUntil = now.Add(unreachableFor)
 }
 
 // startCall counts a call to a VM as in progress; endCall counts it as ended.
--- a/internal/ffoutbound/decision_test.go
+++ b/internal/ffoutbound/decision_test.go
@@ -122,7 +122,7 @@
 			tc.change(loads)
 			now := time.Now()
 			for i, l := range loads {
-				board.RecordHeartbeat(vm(byte(i+1)), l, false, now, now.Add(time.Second))
+				board.RecordHeartbeat(ffoutbound.Location{VM: vm(byte(i + 1))}, l, false, now, now.Add(time.Second))
 			}
 			p := ffoutbound.Picker{Location: ffoutbound.Location{VM: vm(9), DataCentre: "a"}, Loads: board}
 			c := &ffmesh.Call{Service: "s", Length: tc.body, Deadline: now.Add(time.Second)}
@@ -143,8 +143,8 @@
 	})
 	now := time.Now()
 	board := &ffoutbound.LoadTracker{}
-	board.RecordHeartbeat(netip.MustParseAddr("10.0.0.2"), ffmesh.Load{Target: "old", Slots: 4, Typical: time.Millisecond}, false, now, now.Add(time.Minute))
-	board.RecordHeartbeat(netip.MustParseAddr("10.0.0.3"), ffmesh.Load{Target: "new", Slots: 4}, false, now, now.Add(time.Minute))
+	board.RecordHeartbeat(ffoutbound.Location{VM: netip.MustParseAddr("10.0.0.2")}, ffmesh.Load{Target: "old", Slots: 4, Typical: time.Millisecond}, false, now, now.Add(time.Minute))
+	board.RecordHeartbeat(ffoutbound.Location{VM: netip.MustParseAddr("10.0.0.3")}, ffmesh.Load{Target: "new", Slots: 4}, false, now, now.Add(time.Minute))
 	picker := &ffoutbound.Picker{Location: ffoutbound.Location{VM: netip.MustParseAddr("10.0.0.1")}, Loads: board}
 	picked := make(map[string]int)
 	const picks = 200
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -3,10 +3,12 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/fffleet"
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+	"fireflyfall.dev/fireflyfall/internal/ffsubset"
 )
 
 const (
@@ -45,12 +47,14 @@
 	nearSamplesLong = 3
 )
 
-// Location is the location of this entry.
+// Location is the location of a daemon.
 type Location struct {
 	VM         netip.Addr
 	DataCentre string
 }
 
+func locationOf(t fffleet.Target) Location { return Location{VM: t.VM(), DataCentre: t.DataCentre} }
+
 // Choice is the target picked for a call, with the data behind the decision.
 type Choice struct {
 	Target fffleet.Target
@@ -66,14 +70,21 @@
 // Picker picks the target with the lowest cost: the estimated time of waiting, service
 // and network, plus penalties for failing and unavailable targets.
 type Picker struct {
+	// Location is that of this entry.
 	Location Location
 	Loads    *LoadTracker
+
+	mu sync.Mutex
+	// used holds the targets that this entry uses, by service, of the fleet with usedOf
+	// as its digest.
+	used   map[string][]fffleet.Target
+	usedOf uint64
 }
 
 // Pick returns the cheapest target of the call's service that is not in tried, and
 // false if there is none.
 func (p *Picker) Pick(fleet fffleet.Fleet, c *ffmesh.Call, tried map[string]bool, now time.Time) (Choice, bool) {
-	targets := p.sample(fleet.Serving(c.Service), c, tried)
+	targets := p.sample(p.subset(fleet, c.Service), c, tried)
 	states := make([]vmState, len(targets))
 	for i, t := range targets {
 		states[i] = p.Loads.snapshot(t.VM())
@@ -90,6 +101,21 @@
 	return best, len(targets) > 0
 }
 
+// subset returns the targets of a service that this entry uses.
+func (p *Picker) subset(fleet fffleet.Fleet, service string) []fffleet.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.used == nil || p.usedOf != fleet.Digest() {
+		p.used, p.usedOf = make(map[string][]fffleet.Target), fleet.Digest()
+	}
+	targets, ok := p.used[service]
+	if !ok {
+		targets = ffsubset.Of(ffsubset.Entry(p.Location), fleet, fleet.Serving(service))
+		p.used[service] = targets
+	}
+	return targets
+}
+
 // measured reports whether the load holds a service time of t, and not of another
 // target that ran on the same VM.
 func (s *vmState) measured(t fffleet.Target) bool { return s.load.Typical > 0 && s.load.Target == t.ID }
@@ -181,7 +207,8 @@
 func (p *Picker) unavailabilityCost(t fffleet.Target, s *vmState, now time.Time) time.Duration {
 	var cost time.Duration
 	if t.VM() != p.Location.VM {
-		if now.Before(s.unreachableUntil) || !s.silentAt.IsZero() && now.After(s.silentAt) {
+		silent := !s.silentAt.IsZero() && now.After(s.silentAt)
+		if silent || now.Before(s.unreachableUntil) || p.Loads.cutOff(t.DataCentre, now) {
 			cost += unreachableCost
 		}
 		if s.leaving {
--- a/internal/ffoutbound/race.go
+++ b/internal/ffoutbound/race.go
@@ -28,9 +28,9 @@
 	now := time.Now()
 	switch {
 	case reply.Load.Target != "":
-		board.recordLoad(t.VM(), reply.Load, now)
+		board.recordLoad(locationOf(t), reply.Load, now)
 	case ctx.Err() == nil:
-		board.markUnreachable(t.VM(), now)
+		board.markUnreachable(locationOf(t), now)
 	}
 	return reply
 }
@@ -91,7 +91,7 @@
 		return nil
 	}
 	return func() {
-		board.markUnreachable(t.VM(), time.Now())
+		board.markUnreachable(locationOf(t), time.Now())
 		silent <- struct{}{}
 	}
 }
