A daemon that starts reads one page of the old list of targets

Change: the first page is enough to find others; it is the same for all, so all agree on the delegates.

--- a/internal/ffgossip/source.go
+++ b/internal/ffgossip/source.go
@@ -10,8 +10,8 @@
 
 // Source is the platform's store. Its methods call progress whenever bytes arrive.
 type Source interface {
-	// Targets returns the targets of a list that may be seconds old, at a fraction of
-	// the cost of Read.
+	// Targets returns some targets, the same to all callers, of a list that may be
+	// seconds old, at a fraction of the cost of Read.
 	Targets(ctx context.Context) ([]fffleet.Target, error)
 	// Read returns the configuration and all targets.
 	Read(ctx context.Context, progress func()) (*StoreContent, error)
