--- a/internal/ffdelegate/fleet_test.go
+++ b/internal/ffdelegate/fleet_test.go
@@ -196,7 +196,7 @@
 		if at, ok := s.ListDue(); !ok || at.After(start) {
 			t.Fatal("a daemon that knows no other does not look for others")
 		}
-		s.Place, s.Members, s.MetAt = ffdelegate.PlaceOf(member, members), len(members), start.Add(100*time.Millisecond)
+		s.Place, s.Members, s.FoundAt = ffdelegate.PlaceOf(member, members), len(members), start.Add(100*time.Millisecond)
 		if _, ok := s.ListDue(); ok {
 			t.Fatal("a daemon that knows others looks for others")
 		}
--- a/internal/ffdelegate/start.go
+++ b/internal/ffdelegate/start.go
@@ -3,16 +3,16 @@
 import "time"
 
 const (
-	// rollCallInterval is the time between two reads of the list of targets by a daemon
+	// listInterval is the time between two reads of the list of targets by a daemon
 	// that knows no other yet, and half of it the time over which they are spread.
-	rollCallInterval = 400 * time.Millisecond
-	// firstHeartbeatTime is how long a daemon that is not a delegate waits for a
+	listInterval = 400 * time.Millisecond
+	// firstReadDelay is how long a daemon that is not a delegate waits for a
 	// snapshot from others, and firstReadSpread the time over which reads after that
 	// are spread.
-	firstHeartbeatTime = time.Second
-	firstReadSpread    = 600 * time.Millisecond
-	// withoutOthers is how long a daemon looks for others before it reads by itself.
-	withoutOthers = 1500 * time.Millisecond
+	firstReadDelay  = time.Second
+	firstReadSpread = 600 * time.Millisecond
+	// loneReadDelay is how long a daemon looks for others before it reads by itself.
+	loneReadDelay = 1500 * time.Millisecond
 )
 
 // Start is what a daemon without a snapshot knows. All daemons of a fleet may start at
@@ -21,9 +21,9 @@
 	Place Place
 	// Members is the number of daemons known, this one included.
 	Members int
-	// StartedAt is when the process started, and MetAt when it learned of another
+	// StartedAt is when the process started, and FoundAt when it learned of another
 	// daemon.
-	StartedAt, MetAt time.Time
+	StartedAt, FoundAt time.Time
 	// AskedAt is when it last read the list of targets; zero before the first time.
 	AskedAt time.Time
 	Jitter  float64
@@ -38,7 +38,7 @@
 	if s.AskedAt.IsZero() {
 		return s.StartedAt, true
 	}
-	return s.AskedAt.Add(rollCallInterval + time.Duration(s.Jitter*float64(rollCallInterval/2))), true
+	return s.AskedAt.Add(listInterval + time.Duration(s.Jitter*float64(listInterval/2))), true
 }
 
 // ReadDue returns when the daemon reads the store, unless it gets a snapshot from
@@ -46,9 +46,9 @@
 func (s Start) ReadDue() time.Time {
 	switch {
 	case s.Members <= 1:
-		return s.StartedAt.Add(withoutOthers)
+		return s.StartedAt.Add(loneReadDelay)
 	case s.Place.Delegate():
-		return s.MetAt.Add(time.Duration(s.Place.Rank) * rankDelay)
+		return s.FoundAt.Add(time.Duration(s.Place.Rank) * rankDelay)
 	}
-	return s.MetAt.Add(firstHeartbeatTime + time.Duration(s.Jitter*float64(firstReadSpread)))
+	return s.FoundAt.Add(firstReadDelay + time.Duration(s.Jitter*float64(firstReadSpread)))
 }
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -58,8 +58,8 @@
 	leaving  atomic.Bool
 	pulls    chan netip.Addr
 
-	mu   sync.Mutex
-	rota ffpartner.Rota
+	mu       sync.Mutex
+	schedule ffpartner.Schedule
 }
 
 // Run exchanges heartbeats and snapshots until ctx ends. It fails when the address
@@ -137,7 +137,7 @@
 func (n *Node) Called(vm netip.Addr) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.rota.Called(vm, time.Now())
+	n.schedule.Called(vm, time.Now())
 }
 
 // runHeartbeats sends a round of heartbeats at each interval.
@@ -148,7 +148,7 @@
 	for {
 		n.Peers.Forget(time.Now())
 		n.mu.Lock()
-		round := n.rota.Next(n.others(), n.DataCentre, time.Now(), rng)
+		round := n.schedule.Next(n.others(), n.DataCentre, time.Now(), rng)
 		n.mu.Unlock()
 		n.sendRound(round)
 		select {
@@ -187,7 +187,7 @@
 	round := make([]ffpartner.Heartbeat, 0, len(vms))
 	n.mu.Lock()
 	for _, vm := range vms {
-		round = append(round, ffpartner.Heartbeat{VM: vm, Every: n.rota.Planned(vm)})
+		round = append(round, ffpartner.Heartbeat{VM: vm, Every: n.schedule.Planned(vm)})
 	}
 	n.mu.Unlock()
 	n.sendRound(round)
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -103,8 +103,8 @@
 		return
 	}
 	others, listed := r.Others()
-	if len(others) > 0 && r.start.MetAt.IsZero() {
-		r.start.MetAt = now
+	if len(others) > 0 && r.start.FoundAt.IsZero() {
+		r.start.FoundAt = now
 	}
 	place, jitter := ffdelegate.PlaceOf(r.Self, listed), rand.Float64()
 	r.start.Place, r.start.Members, r.start.Jitter = place, len(others)+1, jitter
--- a/internal/ffpartner/rota.go
+++ b/internal/ffpartner/schedule.go
@@ -33,8 +33,8 @@
 	Every time.Duration
 }
 
-// Rota is the order in which daemons get heartbeats. The zero value is empty.
-type Rota struct {
+// Schedule is the order in which daemons get heartbeats. The zero value is empty.
+type Schedule struct {
 	// callers holds the time of the last call of each entry that calls this VM's gate.
 	callers map[netip.Addr]time.Time
 	// last is the caller that got the last regular heartbeat.
@@ -45,25 +45,25 @@
 }
 
 // Planned returns the time between two heartbeats to vm; 0 if none are planned.
-func (r *Rota) Planned(vm netip.Addr) time.Duration { return r.planned[vm] }
+func (s *Schedule) Planned(vm netip.Addr) time.Duration { return s.planned[vm] }
 
 // Called records a call of the entry on vm.
-func (r *Rota) Called(vm netip.Addr, now time.Time) {
-	if r.callers == nil {
-		r.callers = make(map[netip.Addr]time.Time)
+func (s *Schedule) Called(vm netip.Addr, now time.Time) {
+	if s.callers == nil {
+		s.callers = make(map[netip.Addr]time.Time)
 	}
-	r.callers[vm] = now
+	s.callers[vm] = now
 }
 
 // Next returns the heartbeats of the next round. others are the other daemons of the
 // fleet, which it reorders, and dataCentre is the own data centre.
-func (r *Rota) Next(others []ffdelegate.Member, dataCentre string, now time.Time, rng *rand.Rand) []Heartbeat {
+func (s *Schedule) Next(others []ffdelegate.Member, dataCentre string, now time.Time, rng *rand.Rand) []Heartbeat {
 	if len(others) <= smallFleet {
-		return r.all(others)
+		return s.all(others)
 	}
-	callers := r.current(others, now)
-	r.plan(callers, roundsFor(len(callers))*Interval)
-	round := r.rotate(callers)
+	callers := s.current(others, now)
+	s.plan(callers, roundsFor(len(callers))*Interval)
+	round := s.rotate(callers)
 	near, far := maxPerRound-farPerRound-len(round), farPerRound
 	rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, m := range others {
@@ -73,43 +73,43 @@
 		}
 		if *left > 0 && !slices.ContainsFunc(round, func(h Heartbeat) bool { return h.VM == m.VM }) {
 			*left--
-			round = append(round, Heartbeat{VM: m.VM, Every: r.planned[m.VM]})
+			round = append(round, Heartbeat{VM: m.VM, Every: s.planned[m.VM]})
 		}
 	}
 	return round
 }
 
 // all returns a heartbeat to each of the others.
-func (r *Rota) all(others []ffdelegate.Member) []Heartbeat {
+func (s *Schedule) all(others []ffdelegate.Member) []Heartbeat {
 	vms := make([]netip.Addr, 0, len(others))
 	round := make([]Heartbeat, 0, len(others))
 	for _, m := range others {
 		vms = append(vms, m.VM)
 		round = append(round, Heartbeat{VM: m.VM, Every: Interval})
 	}
-	r.plan(vms, Interval)
+	s.plan(vms, Interval)
 	return round
 }
 
 // plan replaces the plan by heartbeats to vms.
-func (r *Rota) plan(vms []netip.Addr, every time.Duration) {
-	r.planned = make(map[netip.Addr]time.Duration, len(vms))
+func (s *Schedule) plan(vms []netip.Addr, every time.Duration) {
+	s.planned = make(map[netip.Addr]time.Duration, len(vms))
 	for _, vm := range vms {
-		r.planned[vm] = every
+		s.planned[vm] = every
 	}
 }
 
 // current forgets the entries that no longer call or exist, and returns the others in
 // order of address.
-func (r *Rota) current(others []ffdelegate.Member, now time.Time) []netip.Addr {
+func (s *Schedule) current(others []ffdelegate.Member, now time.Time) []netip.Addr {
 	exists := make(map[netip.Addr]bool, len(others))
 	for _, m := range others {
 		exists[m.VM] = true
 	}
 	var callers []netip.Addr
-	for vm, at := range r.callers {
+	for vm, at := range s.callers {
 		if now.Sub(at) > callerKept || !exists[vm] {
-			delete(r.callers, vm)
+			delete(s.callers, vm)
 			continue
 		}
 		callers = append(callers, vm)
@@ -126,16 +126,17 @@
 	return time.Duration(max(1, (n+regularPerRound-1)/regularPerRound))
 }
 
-// rotate returns the heartbeats to the callers whose turn it is.
-func (r *Rota) rotate(callers []netip.Addr) []Heartbeat {
-	first, _ := slices.BinarySearchFunc(callers, r.last, func(a, b netip.Addr) int {
+// rotate returns the heartbeats to the callers whose turn it is: those after the last
+// one in order of address.
+func (s *Schedule) rotate(callers []netip.Addr) []Heartbeat {
+	first, _ := slices.BinarySearchFunc(callers, s.last, func(a, b netip.Addr) int {
 		return cmp.Or(a.Compare(b), -1)
 	})
 	var round []Heartbeat
 	for i := range min(len(callers), regularPerRound) {
 		vm := callers[(first+i)%len(callers)]
-		round = append(round, Heartbeat{VM: vm, Every: r.planned[vm]})
-		r.last = vm
+		round = append(round, Heartbeat{VM: vm, Every: s.planned[vm]})
+		s.last = vm
 	}
 	return round
 }
--- a/internal/ffpartner/rota_test.go
+++ b/internal/ffpartner/schedule_test.go
@@ -25,7 +25,7 @@
 // announced.
 func TestRounds(t *testing.T) {
 	for _, tc := range []struct{ others, callers int }{{9, 9}, {29, 12}, {299, 0}, {299, 40}, {5161, 40}} {
-		var r ffpartner.Rota
+		var s ffpartner.Schedule
 		rng := rand.New(rand.NewPCG(1, 2))
 		others := members(tc.others)
 		callers := slices.Clone(others[:tc.callers])
@@ -33,9 +33,9 @@
 		due := make(map[netip.Addr]time.Time)
 		for range 100 {
 			for _, m := range callers {
-				r.Called(m.VM, now)
+				s.Called(m.VM, now)
 			}
-			round := r.Next(others, "z0", now, rng)
+			round := s.Next(others, "z0", now, rng)
 			if perSecond := len(round) * int(time.Second/ffpartner.Interval); perSecond > 40 {
 				t.Fatalf("%+v: %d heartbeats a second", tc, perSecond)
 			}
@@ -68,7 +68,7 @@
 		for i, m := range all {
 			index[m.VM] = i
 		}
-		rotas := make([]ffpartner.Rota, n)
+		schedules := make([]ffpartner.Schedule, n)
 		informed := map[int]bool{0: true}
 		now := time.Unix(1000, 0)
 		var elapsed time.Duration
@@ -76,7 +76,7 @@
 			reached := make(map[int]bool)
 			for i := range informed {
 				others := slices.DeleteFunc(slices.Clone(all), func(m ffdelegate.Member) bool { return m == all[i] })
-				for _, h := range rotas[i].Next(others, all[i].DataCentre, now.Add(elapsed), rng) {
+				for _, h := range schedules[i].Next(others, all[i].DataCentre, now.Add(elapsed), rng) {
 					if rng.IntN(50) > 0 {
 						reached[index[h.VM]] = true
 					}
@@ -96,15 +96,15 @@
 // TestFormerCaller checks that an entry that stopped calling gets no regular heartbeat
 // any more, and is told so by the next random one.
 func TestFormerCaller(t *testing.T) {
-	var r ffpartner.Rota
+	var s ffpartner.Schedule
 	rng := rand.New(rand.NewPCG(1, 2))
 	others := members(299)
 	former, now := others[0].VM, time.Unix(1000, 0)
-	r.Called(former, now)
+	s.Called(former, now)
 	told := false
 	for range 2000 {
 		now = now.Add(ffpartner.Interval)
-		for _, h := range r.Next(others, "z0", now, rng) {
+		for _, h := range s.Next(others, "z0", now, rng) {
 			if h.VM == former && now.Sub(time.Unix(1000, 0)) > 10*time.Second {
 				told = told || h.Every == 0
 				if h.Every > 0 {
