Calls that repeated runs make are charged to the budget of repeats

What callers saw: BUDGET, 309 repeats at a service within 10 s, 295 allowed. Cause: an entry took every request of its own VM's target for a new one. When a service fails, runs of the service that calls it fail, are repeated, and call it again; all these calls count as repeats, and only a fixed fifth of the budget was left for them.

Change: an offer tells its gate the probability that its run counts as a repeat (1 beyond the first arrival). The entry beside the target charges a request with the share of repeats among the runs that can have made it: those whose deadline is not earlier. Who made a request cannot be told otherwise: clients and target share the VM's address.

--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -38,6 +38,7 @@
 	slots    int
 	running  int
 	queue    queue
+	runs     runs
 	stats    targetStats
 	pacer    ffpace.Pacer
 	// wake dispatches again when a call may be sent under the target's limit.
@@ -60,7 +61,7 @@
 	if refusal := g.wait(ctx, c, w); refusal != nil {
 		return g.logRefusal(c, refusal)
 	}
-	started := time.Now()
+	started := g.startCall(c)
 	// The slot is released whatever happens.
 	reply := ffmesh.Contain(g.Log, c, func() *ffmesh.Reply { return g.send(ctx, c, target) })
 	if reply.Stream != nil {
--- a/internal/ffinbound/slots.go
+++ b/internal/ffinbound/slots.go
@@ -108,10 +108,19 @@
 	g.dispatch(time.Now())
 }
 
+// startCall records that a call is sent to the target, and returns the time.
+func (g *Gate) startCall(c *ffmesh.Call) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.runs.add(c)
+	return time.Now()
+}
+
 // finishCall releases the slot of a call and records its service time and outcome.
 func (g *Gate) finishCall(c *ffmesh.Call, r *ffmesh.Reply, started time.Time) {
 	now := time.Now()
 	g.mu.Lock()
+	g.runs.remove(c)
 	if r.Outcome == ffmesh.OutcomeRan {
 		g.stats.recordTime(now, c.Priority, now.Sub(started))
 	}
--- a/internal/ffmeshpeer/client.go
+++ b/internal/ffmeshpeer/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -94,10 +93,7 @@
 	}
 	header := c.Header.Clone()
 	header.Set(callHeader, head)
-	header.Del(limitHeader) // A client may have sent one.
-	if c.TargetLimit > 0 {
-		header.Set(limitHeader, strconv.FormatFloat(c.TargetLimit, 'g', -1, 64))
-	}
+	setOptional(header, c)
 	req := &ffhop.Request{
 		Method: c.Method, URI: c.URI, Host: c.Host, Header: header,
 		Body: c.Body, Stream: c.Stream, Length: c.Length,
--- a/internal/ffmeshpeer/server.go
+++ b/internal/ffmeshpeer/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -46,8 +45,7 @@
 	c.Method, c.URI, c.Host = r.Method, r.RequestURI, r.Host
 	c.Header = ffmesh.EndToEnd(r.Header)
 	c.Header.Del(callHeader)
-	c.TargetLimit = h.targetLimit(r)
-	c.Header.Del(limitHeader)
+	h.takeOptional(r, c)
 	if refusal := h.Gate.Refusal(c); refusal != nil {
 		h.writeReply(w, c, refusal)
 		return
@@ -77,20 +75,6 @@
 	h.writeReply(w, c, h.Gate.Do(ctx, c))
 }
 
-// targetLimit returns the target's limit that the entry knows, or 0.
-func (h *Handler) targetLimit(r *http.Request) float64 {
-	value := r.Header.Get(limitHeader)
-	if value == "" {
-		return 0
-	}
-	limit, err := strconv.ParseFloat(value, 64)
-	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) {
-		h.Log.Warn().Str("limit", value).Str("peer", r.RemoteAddr).Msg("invalid limit of a target ignored")
-		return 0
-	}
-	return limit
-}
-
 // readBody reads the body of r into c. It aborts the connection on an error.
 func (h *Handler) readBody(r *http.Request, c *ffmesh.Call) {
 	body, stream, err := ffmesh.ReadBody(r)
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -78,7 +78,7 @@
 func provideMemory(s Settings) *ffmesh.Memory { return ffmesh.NewMemory(s.Memory / bodyMemoryDivisor) }
 
 func provideHandler(
-	s *atomic.Pointer[Settings], memory *ffmesh.Memory, state *ffgossip.State, gates gates, dialect ffmesh.Dialect,
+	s *atomic.Pointer[Settings], memory *ffmesh.Memory, state *ffgossip.State, gate *ffinbound.Gate, gates gates, dialect ffmesh.Dialect,
 	picker *ffoutbound.Picker, budget *ffoutbound.RetryBudget, metrics *ffoutbound.Metrics, log zerolog.Logger,
 ) *ffoutbound.Handler {
 	return &ffoutbound.Handler{
@@ -91,6 +91,8 @@
 		Memory:  memory,
 		Metrics: metrics,
 		Log:     log,
+
+		RepeatShare: gate.RepeatShare,
 	}
 }
 
--- a/internal/ffnode/wire_gen.go
+++ b/internal/ffnode/wire_gen.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	handler := provideHandler(pointer, memory, state, ffnodeGates, dialect, picker, retryBudget, metrics, log)
+	handler := provideHandler(pointer, memory, state, gate, ffnodeGates, dialect, picker, retryBudget, metrics, log)
 	peers := &ffgossip.Peers{}
 	node := provideNode(s, state, peers, reader, gate, loadTracker, client, log)
 	ffnodeNode := &Node{
--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -9,8 +9,9 @@
 const (
 	// budgetBuckets is the number of intervals into which the window is divided.
 	budgetBuckets = 20
-	// budgetShare is the fraction of the fleet's budget that entries spend. The rest
-	// is left for the calls that retried runs make, which count as retries too.
+	// budgetShare is the fraction of the fleet's budget that entries spend. The rest is
+	// left for the calls that retried runs make beyond the share of their entry: they
+	// count as retries too, but are not refused.
 	budgetShare = 0.8
 	// lowestPriorityShare is the fraction of that available to a service's calls of the
 	// lowest priority, and otherPriorityShare the fraction available to all others. The
@@ -75,13 +76,16 @@
 	return s, interval
 }
 
-// RecordRequest counts a request to a service.
-func (b *RetryBudget) RecordRequest(service string, priority int, now time.Time) {
+// RecordRequest counts a request to a service. repeatShare is the probability that it
+// counts as a repeat, since a run that was itself a repeat made it.
+func (b *RetryBudget) RecordRequest(service string, priority int, repeatShare float64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, interval := b.bucket(service, now)
 	s.highest, s.lowest = min(s.highest, priority), max(s.lowest, priority)
-	s.buckets[interval%budgetBuckets].requests++
+	p := &s.buckets[interval%budgetBuckets]
+	p.requests += 1 - repeatShare
+	p.retries += repeatShare
 }
 
 // TryRetry takes one retry of a call out of the budget and reports whether there was
--- a/internal/ffoutbound/decision_test.go
+++ b/internal/ffoutbound/decision_test.go
@@ -24,7 +24,7 @@
 		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
 		for i := range all {
 			if tick%10 == 0 {
-				all[i].RecordRequest("s", 0, now)
+				all[i].RecordRequest("s", 0, 0, now)
 				requests = append(requests, now)
 			}
 			if all[i].TryRetry("s", 0, true, now) {
@@ -59,8 +59,8 @@
 	now := time.Unix(1000, 0)
 	const high, low = 1, 2
 	for range 100 {
-		b.RecordRequest("s", high, now)
-		b.RecordRequest("s", low, now)
+		b.RecordRequest("s", high, 0, now)
+		b.RecordRequest("s", low, 0, now)
 	}
 	spend := func(priority int, clientRetry bool) (n int) {
 		for b.TryRetry("s", priority, clientRetry, now) {
--- a/internal/ffoutbound/hedge.go
+++ b/internal/ffoutbound/hedge.go
@@ -10,9 +10,11 @@
 )
 
 // offer sends a call to the gate of one target and records the load or the failure.
-func (h *Handler) offer(ctx context.Context, t fffleet.Target, c *ffmesh.Call) *ffmesh.Reply {
+// repeatShare is the probability that its run counts as a repeat.
+func (h *Handler) offer(ctx context.Context, t fffleet.Target, c *ffmesh.Call, repeatShare float64) *ffmesh.Reply {
 	targeted := *c
 	targeted.Target = t.ID
+	targeted.RepeatShare = repeatShare
 	board := h.Picker.Loads
 	targeted.TargetLimit = board.limit(t)
 	board.startCall(t.VM(), c)
@@ -55,12 +57,12 @@
 	answers := newAnswers()
 	defer answers.end()
 	silent := make(chan struct{}, 2)
-	offer := func(t fffleet.Target) {
+	offer := func(t fffleet.Target, repeatShare float64) {
 		c := *r.call
 		c.OnSilence = r.onSilence(t, silent)
-		answers.add(r.handler.offer(ctx, t, &c))
+		answers.add(r.handler.offer(ctx, t, &c, repeatShare))
 	}
-	go offer(t)
+	go offer(t, r.repeatShare())
 	timer := time.NewTimer(time.Until(r.hedgeAt(t)))
 	defer timer.Stop()
 	var best *ffmesh.Reply
@@ -69,7 +71,7 @@
 		if !ok {
 			return 0
 		}
-		go offer(second)
+		go offer(second, 1)
 		return 1
 	}
 	for pending := 1; pending > 0; {
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -38,7 +38,7 @@
 
 // do offers the request to targets until one succeeds or no other may be tried.
 func (r *run) do(ctx context.Context) {
-	r.handler.Budget.RecordRequest(r.call.Service, r.call.Priority, time.Now())
+	r.handler.Budget.RecordRequest(r.call.Service, r.call.Priority, r.call.RepeatShare, time.Now())
 	for r.offers < maxOffers && ctx.Err() == nil {
 		if !r.pick() {
 			return
@@ -70,11 +70,19 @@
 	if r.route.Kind.Idempotent() && r.call.Stream == nil {
 		r.reply = r.sendHedged(ctx, t)
 	} else {
-		r.reply = h.offer(ctx, t, r.call)
+		r.reply = h.offer(ctx, t, r.call, r.repeatShare())
 	}
 	r.recordReply()
 }
 
+// repeatShare returns the probability that a run of the next offer counts as a repeat.
+func (r *run) repeatShare() float64 {
+	if r.arrivals > 0 {
+		return 1
+	}
+	return r.call.RepeatShare
+}
+
 // recordReply records whether the request reached a target, ran or may have run.
 func (r *run) recordReply() {
 	if r.reply.Arrived {
