Retries at the far edge of the window still count against the budget

Cause: the window was a whole number of intervals that ended with the current one, so up to one interval (half a second of ten) was missing at its far edge: an entry that had spent its budget at the end of an interval could spend it again 9.52 s later. Change: retries are kept for one interval more.

--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// budgetBuckets is the number of intervals into which the window is divided.
-	budgetBuckets = 20
+	// windowIntervals is the number of intervals into which the window is divided. Retries
+	// are kept for one more, since the window may begin anywhere in its first interval.
+	windowIntervals = 20
+	budgetBuckets   = windowIntervals + 1
 	// budgetShare is the fraction of the fleet's budget that entries spend. The rest is
 	// left for the calls that retried runs make beyond the share of their entry: they
 	// count as retries too, but are not refused.
@@ -69,7 +71,7 @@
 		s = &usage{highest: math.MaxInt}
 		b.services[service] = s
 	}
-	interval = now.UnixNano() / max(int64(b.config.Window)/budgetBuckets, 1)
+	interval = now.UnixNano() / max(int64(b.config.Window)/windowIntervals, 1)
 	if p := &s.buckets[interval%budgetBuckets]; p.interval != interval {
 		p.interval, p.requests, p.retries = interval, 0, 0
 	}
@@ -114,8 +116,11 @@
 func (b *RetryBudget) windowTotals(s *usage, interval int64) (limit, retries float64) {
 	var requests float64
 	for _, p := range s.buckets {
-		if interval-p.interval < budgetBuckets {
+		age := interval - p.interval
+		if age < windowIntervals {
 			requests += p.requests
+		}
+		if age <= windowIntervals {
 			retries += p.retries
 		}
 	}
