An entry that starts again has no second share of the budget of repeats

Cause: the share that does not depend on requests was whole as soon as an entry started, though the entry may have spent it just before. Change: such an entry has this part only after a window; where the deployment starts for the first time (bootstrap) it has it at once. The window also uses the steady clock now: a step of the time of day emptied it.

Red before: TestFleetExceedsBudget, "seven of eleven start again": 104 retries for 200 requests, 100 allowed. The clock step has no test: a test cannot step one clock alone.

--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -134,7 +134,7 @@
 
 // updateBudget adapts the retry budget to the number of targets in w.
 func (n *Node) updateBudget(w *ffgossip.Snapshot) {
-	n.Budget.Set(n.Settings.Load().RetryBudget, w.Fleet.Len())
+	n.Budget.Set(n.Settings.Load().RetryBudget, w.Fleet.Len(), time.Now())
 }
 
 // clientLimits returns the limits for client requests from the configuration.
@@ -175,7 +175,7 @@
 			return
 		case s := <-reloads:
 			n.Settings.Store(&s)
-			n.Budget.Set(s.RetryBudget, n.State.Fleet().Len())
+			n.Budget.Set(s.RetryBudget, n.State.Fleet().Len(), time.Now())
 			n.Log.Info().Str("service", s.Service).Stringer("target", s.Target).Msg("reload")
 		}
 	}
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -62,8 +62,8 @@
 }
 
 func provideBudget(s Settings) *ffoutbound.RetryBudget {
-	b := &ffoutbound.RetryBudget{}
-	b.Set(s.RetryBudget, 1)
+	b := &ffoutbound.RetryBudget{FirstStart: s.FirstStart}
+	b.Set(s.RetryBudget, 1, time.Now())
 	return b
 }
 
--- a/internal/ffnode/settings.go
+++ b/internal/ffnode/settings.go
@@ -26,6 +26,8 @@
 	Store string
 	// RetryBudget is the retry budget of the whole fleet.
 	RetryBudget ffoutbound.RetryBudgetConfig
+	// FirstStart reports whether the whole deployment starts for the first time.
+	FirstStart bool
 	// StopGrace is the time between the request to stop and the forced end.
 	StopGrace time.Duration
 	// Memory is the amount that the process may use, in bytes.
--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -11,6 +11,9 @@
 	// are kept for one more, since the window may begin anywhere in its first interval.
 	windowIntervals = 20
 	budgetBuckets   = windowIntervals + 1
+	// firstInterval is the number of the interval in which an entry starts, so that empty
+	// buckets belong to none in the window.
+	firstInterval = 2 * budgetBuckets
 	// budgetShare is the fraction of the fleet's budget that entries spend. The rest is
 	// left for the calls that retried runs make beyond the share of their entry: they
 	// count as retries too, but are not refused.
@@ -35,10 +38,16 @@
 // RetryBudget enforces this entry's share of the fleet's retry budget, separately for each
 // service. The zero value allows no retries until Set is called.
 type RetryBudget struct {
-	mu       sync.Mutex
-	config   RetryBudgetConfig
-	entries  int
-	services map[string]*usage
+	// FirstStart reports whether no entry of the fleet can have made retries before this
+	// one started.
+	FirstStart bool
+
+	mu     sync.Mutex
+	config RetryBudgetConfig
+	// startedAt is when Set was first called.
+	startedAt time.Time
+	entries   int
+	services  map[string]*usage
 }
 
 // usage counts the requests and retries of one service in the intervals of the window.
@@ -52,9 +61,12 @@
 }
 
 // Set sets the fleet's budget and the number of entries that share it.
-func (b *RetryBudget) Set(a RetryBudgetConfig, entries int) {
+func (b *RetryBudget) Set(a RetryBudgetConfig, entries int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.startedAt.IsZero() {
+		b.startedAt = now
+	}
 	b.config = a
 	b.entries = max(entries, 1)
 }
@@ -71,7 +83,10 @@
 		s = &usage{highest: math.MaxInt}
 		b.services[service] = s
 	}
-	interval = now.UnixNano() / max(int64(b.config.Window)/windowIntervals, 1)
+	interval = firstInterval
+	if !b.startedAt.IsZero() {
+		interval += int64(now.Sub(b.startedAt) / max(b.config.Window/windowIntervals, 1))
+	}
 	if p := &s.buckets[interval%budgetBuckets]; p.interval != interval {
 		p.interval, p.requests, p.retries = interval, 0, 0
 	}
@@ -96,7 +111,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, interval := b.bucket(service, now)
-	limit, retries := b.windowTotals(s, interval)
+	limit, retries := b.windowTotals(s, interval, now)
 	switch {
 	case clientRetry:
 	case s.highest < s.lowest && priority == s.lowest:
@@ -113,7 +128,7 @@
 
 // windowTotals returns the retries that the window allows for a service, and those
 // already made in it. The caller holds the lock.
-func (b *RetryBudget) windowTotals(s *usage, interval int64) (limit, retries float64) {
+func (b *RetryBudget) windowTotals(s *usage, interval int64, now time.Time) (limit, retries float64) {
 	var requests float64
 	for _, p := range s.buckets {
 		age := interval - p.interval
@@ -124,7 +139,17 @@
 			retries += p.retries
 		}
 	}
-	return budgetShare * (b.config.Ratio*requests + b.config.MinRetries/float64(max(b.entries, 1))), retries
+	return budgetShare * (b.config.Ratio*requests + b.minRetries(now)), retries
+}
+
+// minRetries returns this entry's share of the retries that are allowed regardless of
+// requests. An entry that starts again has none for a whole window, since it does not know
+// what it spent before. The caller holds the lock.
+func (b *RetryBudget) minRetries(now time.Time) float64 {
+	if !b.FirstStart && now.Before(b.startedAt.Add(b.config.Window)) {
+		return 0
+	}
+	return b.config.MinRetries / float64(max(b.entries, 1))
 }
 
 // Remaining returns the retries left for the service that has fewest, or this entry's share
@@ -135,11 +160,11 @@
 	least := math.Inf(1)
 	for service := range b.services {
 		s, interval := b.bucket(service, now)
-		limit, retries := b.windowTotals(s, interval)
+		limit, retries := b.windowTotals(s, interval, now)
 		least = min(least, limit-retries)
 	}
 	if math.IsInf(least, 1) {
-		return budgetShare * b.config.MinRetries / float64(max(b.entries, 1))
+		return budgetShare * b.minRetries(now)
 	}
 	return least
 }
--- a/internal/ffoutbound/budget_test.go
+++ b/internal/ffoutbound/budget_test.go
@@ -61,7 +61,7 @@
 	config := ffoutbound.RetryBudgetConfig{Ratio: budgetRatio, MinRetries: budgetSlack, Window: budgetWindowMs * time.Millisecond}
 	budgets := make([]*ffoutbound.RetryBudget, l.Entries)
 	for i := range budgets {
-		budgets[i] = &ffoutbound.RetryBudget{}
+		budgets[i] = &ffoutbound.RetryBudget{FirstStart: true}
 	}
 	arrived := 0.0
 	for ms := 0; ms < l.ForMs; ms += entryStepMs {
@@ -71,7 +71,7 @@
 			if i < l.Restarting && slices.Contains(l.RestartAtMs, ms) {
 				budgets[i] = &ffoutbound.RetryBudget{}
 			}
-			budgets[i].Set(config, l.known(i, ms))
+			budgets[i].Set(config, l.known(i, ms), now)
 		}
 		for ; arrived >= 1; arrived-- {
 			requests = append(requests, ms)
--- a/internal/ffoutbound/decision_test.go
+++ b/internal/ffoutbound/decision_test.go
@@ -18,7 +18,8 @@
 	var retries, requests []time.Time
 	start := time.Unix(1000, 0)
 	for i := range all {
-		all[i].Set(ffoutbound.RetryBudgetConfig{Ratio: ratio, MinRetries: slack, Window: 10 * time.Second}, entries)
+		all[i].FirstStart = true
+		all[i].Set(ffoutbound.RetryBudgetConfig{Ratio: ratio, MinRetries: slack, Window: 10 * time.Second}, entries, start)
 	}
 	for tick := range 3000 {
 		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
@@ -55,7 +56,7 @@
 // budget to those of higher priority, and a part to clients that ask again.
 func TestBudgetPriorities(t *testing.T) {
 	var b ffoutbound.RetryBudget
-	b.Set(ffoutbound.RetryBudgetConfig{Ratio: 0.2, MinRetries: 10, Window: 10 * time.Second}, 1)
+	b.Set(ffoutbound.RetryBudgetConfig{Ratio: 0.2, MinRetries: 10, Window: 10 * time.Second}, 1, time.Unix(900, 0))
 	now := time.Unix(1000, 0)
 	const high, low = 1, 2
 	for range 100 {
