Entries that lose sight of others do not take their share of the budget

Cause: the share was divided by the targets that an entry knows now. After a restart or an outage an entry may know a part of them for some seconds, while the others go on. Change: a larger number of before counts for a window more.

Red before: TestFleetExceedsBudget, "entries of most targets run out in an outage": 200 retries for 200 requests, 100 allowed; "a sixth of the fleet known after a restart": 420 for 600, 180 allowed (already green since an entry that starts again waits for a window).

--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -46,8 +46,12 @@
 	config RetryBudgetConfig
 	// startedAt is when Set was first called.
 	startedAt time.Time
-	entries   int
-	services  map[string]*usage
+	// entries is the number of entries that share the budget. formerEntries is a larger
+	// one that counts until formerUntil.
+	entries       int
+	formerEntries int
+	formerUntil   time.Time
+	services      map[string]*usage
 }
 
 // usage counts the requests and retries of one service in the intervals of the window.
@@ -60,7 +64,8 @@
 	}
 }
 
-// Set sets the fleet's budget and the number of entries that share it.
+// Set sets the fleet's budget and the number of entries that share it. A larger number of
+// before counts for another window, since some entries may be unknown but still at work.
 func (b *RetryBudget) Set(a RetryBudgetConfig, entries int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -68,6 +73,9 @@
 		b.startedAt = now
 	}
 	b.config = a
+	if entries < b.entries {
+		b.formerEntries, b.formerUntil = b.sharers(now), now.Add(a.Window)
+	}
 	b.entries = max(entries, 1)
 }
 
@@ -142,6 +150,14 @@
 	return budgetShare * (b.config.Ratio*requests + b.minRetries(now)), retries
 }
 
+// sharers returns the number of entries that share the budget. The caller holds the lock.
+func (b *RetryBudget) sharers(now time.Time) int {
+	if now.Before(b.formerUntil) {
+		return max(b.entries, b.formerEntries, 1)
+	}
+	return max(b.entries, 1)
+}
+
 // minRetries returns this entry's share of the retries that are allowed regardless of
 // requests. An entry that starts again has none for a whole window, since it does not know
 // what it spent before. The caller holds the lock.
@@ -149,7 +165,7 @@
 	if !b.FirstStart && now.Before(b.startedAt.Add(b.config.Window)) {
 		return 0
 	}
-	return b.config.MinRetries / float64(max(b.entries, 1))
+	return b.config.MinRetries / float64(b.sharers(now))
 }
 
 // Remaining returns the retries left for the service that has fewest, or this entry's share
