A target that another one has replaced gets no more calls

Cause: VMs came back with new targets while the store was silent. The answer 421 says that the known target is no longer there, but nothing remembered it. Change: gate and entry record it as they record a target that says it leaves, until a later run is listed. Such requests are refused at once now.

--- a/internal/fffleet/leaving.go
+++ b/internal/fffleet/leaving.go
@@ -2,8 +2,8 @@
 
 import "maps"
 
-// Leaving holds the runs of targets that said themselves that they are leaving, which
-// the store may not know. It is immutable, and the zero value is empty.
+// Leaving holds the runs of targets that said themselves that they are leaving, or that
+// others have replaced, which the store may not know. It is immutable, and the zero value is empty.
 type Leaving struct{ runs map[string]Target }
 
 // Len returns the number of runs.
--- a/internal/ffgossip/usabletargets.go
+++ b/internal/ffgossip/usabletargets.go
@@ -26,7 +26,16 @@
 
 // MarkLeaving records that the run t of a target said that it is leaving. That run gets
 // no new calls from now on, whatever the store or other daemons say of it.
-func (s *State) MarkLeaving(t fffleet.Target) {
+func (s *State) MarkLeaving(t fffleet.Target) { s.endCalls(t, "target says that it is leaving") }
+
+// MarkReplaced records that another target answers at the address of the run t, which gets
+// no new calls from now on.
+func (s *State) MarkReplaced(t fffleet.Target) {
+	s.endCalls(t, "another target answers in place of this one")
+}
+
+// endCalls keeps new calls off the run t and logs the reason, the first time.
+func (s *State) endCalls(t fffleet.Target, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving.Has(t) {
@@ -36,7 +45,7 @@
 		s.leaving = s.leaving.Within(s.listed.Union(s.held))
 	}
 	s.leaving = s.leaving.With(t)
-	s.Log.Info().Str("target", t.ID).Stringer("listed", t.State).Msg("target says that it is leaving")
+	s.Log.Info().Str("target", t.ID).Stringer("listed", t.State).Msg(reason)
 	old := s.Snapshot()
 	next := *old
 	next.Fleet = s.usable()
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -22,6 +22,8 @@
 	LocalTarget() (fffleet.Target, bool)
 	// MarkLeaving records that a target said that it is leaving.
 	MarkLeaving(t fffleet.Target)
+	// MarkReplaced records that another target answers at the address of t.
+	MarkReplaced(t fffleet.Target)
 }
 
 // Gate controls the calls to the target on this VM.
--- a/internal/ffinbound/gate_test.go
+++ b/internal/ffinbound/gate_test.go
@@ -29,6 +29,7 @@
 
 func (s staticTarget) LocalTarget() (fffleet.Target, bool) { return s.target, true }
 func (s staticTarget) MarkLeaving(fffleet.Target)          {}
+func (s staticTarget) MarkReplaced(fffleet.Target)         {}
 
 // newGate returns a gate for a target that spends work on each call. order receives the
 // IDs of the calls, and maxRunning the largest number in progress at once.
--- a/internal/ffinbound/leaving_test.go
+++ b/internal/ffinbound/leaving_test.go
@@ -28,6 +28,8 @@
 
 func (l leavingTarget) MarkLeaving(fffleet.Target) { l.left.Store(true) }
 
+func (l leavingTarget) MarkReplaced(fffleet.Target) {}
+
 // TestAcceptedCallsAfterLeaving guards against calls that were accepted before the news
 // that the target is leaving and sent to it afterwards.
 func TestAcceptedCallsAfterLeaving(t *testing.T) {
--- a/internal/ffinbound/send.go
+++ b/internal/ffinbound/send.go
@@ -56,7 +56,11 @@
 	if err != nil {
 		return g.exchangeFailed(ctx, c, err)
 	}
-	return g.receiveResponse(ctx, c, e, func(h http.Header) { g.recordNotice(c, t, sentAt, h) })
+	reply := g.receiveResponse(ctx, c, e, func(h http.Header) { g.recordNotice(c, t, sentAt, h) })
+	if reply.ReplacedTarget() {
+		g.Target.MarkReplaced(t)
+	}
+	return reply
 }
 
 // notSent returns the reply to a call of which no byte was sent to the target.
--- a/internal/ffmesh/reply.go
+++ b/internal/ffmesh/reply.go
@@ -60,6 +60,9 @@
 	Load    Load
 }
 
+// ReplacedTarget reports whether another target than the one meant has answered.
+func (r *Reply) ReplacedTarget() bool { return r.Arrived && r.Reason == ReasonMisdirected }
+
 // Load is the state of a gate and its target at one moment. Its fields are encoded
 // by position, without names.
 type Load struct {
--- a/internal/ffnode/local.go
+++ b/internal/ffnode/local.go
@@ -29,6 +29,9 @@
 // MarkLeaving implements ffinbound.TargetSource.
 func (l localTarget) MarkLeaving(t fffleet.Target) { l.state.MarkLeaving(t) }
 
+// MarkReplaced implements ffinbound.TargetSource.
+func (l localTarget) MarkReplaced(t fffleet.Target) { l.state.MarkReplaced(t) }
+
 // gates returns the gate of this VM directly, and clients for those of other VMs.
 type gates struct {
 	vm     netip.Addr
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -27,6 +27,8 @@
 	ExpectedAt() time.Time
 	// MarkLeaving records that a target said that it is leaving.
 	MarkLeaving(t fffleet.Target)
+	// MarkReplaced records that another target answers at the address of t.
+	MarkReplaced(t fffleet.Target)
 }
 
 // Gates provides the gate of each VM.
--- a/internal/ffoutbound/hedge.go
+++ b/internal/ffoutbound/hedge.go
@@ -23,6 +23,9 @@
 	if reply.Outcome == ffmesh.OutcomeRan {
 		h.recordNotice(t, reply)
 	}
+	if reply.ReplacedTarget() {
+		h.Config.MarkReplaced(t)
+	}
 	now := time.Now()
 	switch {
 	case reply.Load.Target != "":
--- a/internal/ffoutbound/panic_test.go
+++ b/internal/ffoutbound/panic_test.go
@@ -29,6 +29,8 @@
 
 func (oneRoute) MarkLeaving(fffleet.Target) {}
 
+func (oneRoute) MarkReplaced(fffleet.Target) {}
+
 func (oneRoute) ExpectedAt() time.Time { return time.Time{} }
 
 // panickingGate fails on every call.
