Revisions of the store are ordered by its era before their number

What callers saw: a change that the store had acknowledged was not in force for eight seconds (CONFIG). Cause: a store that comes back from a copy gives revisions out again; daemons compared the numbers alone. They threw away what they read, read everything again many times a second, and the watch after the old revision skipped what had got a number up to it. Change: a revision is an era (Store-Era) and a number; an answer of another era than the one asked after leads to a complete read, and pages of two eras are not mixed. Daemons of this and of earlier builds do not understand each other's heartbeats.

--- a/internal/ffgossip/content.go
+++ b/internal/ffgossip/content.go
@@ -37,7 +37,7 @@
 // update is the response to a pull: what the requesting peer lacks of the snapshot.
 type update struct {
 	// Revision is sent in a header as well, which goes before that of the body.
-	Revision uint64 `json:"revision"`
+	Revision Revision `json:"revision"`
 	// Age is sent in a header, since one encoded body is served to many peers.
 	Age time.Duration `json:"-"`
 	// Held is sent in a header too; zero or less after no outage.
@@ -88,7 +88,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/gzip")
-	w.Header().Set(revisionHeader, strconv.FormatUint(current.Revision, 10))
+	w.Header().Set(revisionHeader, current.Revision.String())
 	w.Header().Set(ageHeader, strconv.FormatInt(int64(time.Since(current.ConfirmedAt)), 10))
 	if held := time.Until(h.State.HeldUntil()); held > 0 {
 		w.Header().Set(heldHeader, strconv.FormatInt(int64(held), 10))
--- a/internal/ffgossip/content_test.go
+++ b/internal/ffgossip/content_test.go
@@ -15,7 +15,7 @@
 // itself for behind and read the store.
 func TestRevisionOfCachedContent(t *testing.T) {
 	s := &State{}
-	s.Merge(Reading{Revision: 146, ConfirmedAt: time.Now(), Table: (&ffroute.Table{Version: 1}).Index()})
+	s.Merge(Reading{Revision: Revision{Number: 146}, ConfirmedAt: time.Now(), Table: (&ffroute.Table{Version: 1}).Index()})
 	h := &ContentHandler{State: s}
 	pull := func() *update {
 		w := httptest.NewRecorder()
@@ -29,11 +29,11 @@
 		}
 		return c
 	}
-	if c := pull(); c.Revision != 146 {
-		t.Errorf("revision %d", c.Revision)
+	if c := pull(); c.Revision.Number != 146 {
+		t.Errorf("revision %v", c.Revision)
 	}
-	s.Confirm(150, time.Now().Add(time.Second))
-	if c := pull(); c.Revision != 150 {
-		t.Errorf("revision %d of content confirmed at 150", c.Revision)
+	s.Confirm(Revision{Number: 150}, time.Now().Add(time.Second))
+	if c := pull(); c.Revision.Number != 150 {
+		t.Errorf("revision %v of content confirmed at 150", c.Revision)
 	}
 }
--- a/internal/ffgossip/fetch.go
+++ b/internal/ffgossip/fetch.go
@@ -64,8 +64,8 @@
 	}
 	c.Age = time.Duration(age)
 	if value := h.Get(revisionHeader); value != "" {
-		if c.Revision, err = strconv.ParseUint(value, 10, 64); err != nil {
-			return &Error{Op: "read a snapshot", Kind: KindDecode, Err: err}
+		if c.Revision, err = ParseRevision(value); err != nil {
+			return err
 		}
 	}
 	value := h.Get(heldHeader)
--- a/internal/ffgossip/heartbeat.go
+++ b/internal/ffgossip/heartbeat.go
@@ -21,7 +21,7 @@
 	// Leaving reports that the daemon is shutting down.
 	Leaving  bool
 	Load     ffmesh.Load
-	Revision uint64
+	Revision Revision
 	// Age is the age of the snapshot when the heartbeat was sent.
 	Age    time.Duration
 	Digest string
--- a/internal/ffgossip/memory_test.go
+++ b/internal/ffgossip/memory_test.go
@@ -42,7 +42,7 @@
 	fleet := fffleet.New(list)
 	table.Index()
 	for v := uint64(1); v <= 2*maxRecent; v++ {
-		s.Merge(Reading{Revision: v, ConfirmedAt: time.Now(), Table: table, Fleet: fleet})
+		s.Merge(Reading{Revision: Revision{Number: v}, ConfirmedAt: time.Now(), Table: table, Fleet: fleet})
 		var err error
 		if table, err = table.With(&ffroute.Delta{Base: v, Version: v + 1, Changed: []*ffroute.Route{testRoute(0, int(v))}}); err != nil {
 			t.Fatal(err)
--- a/internal/ffgossip/node_test.go
+++ b/internal/ffgossip/node_test.go
@@ -20,7 +20,7 @@
 	stopping := vmNumber(1)
 	fleet := fffleet.New([]fffleet.Target{{ID: "a", Address: netip.AddrPortFrom(stopping, 1)}})
 	n := &Node{State: &State{}, Peers: &Peers{}, Listen: netip.AddrPortFrom(vmNumber(2), 1)}
-	n.State.Merge(Reading{Revision: 1, ConfirmedAt: time.Now(), Fleet: fleet})
+	n.State.Merge(Reading{Revision: Revision{Number: 1}, ConfirmedAt: time.Now(), Fleet: fleet})
 	for name, saidAt := range map[string]time.Time{"stopping": time.Now(), "ended": time.Now().Add(-time.Minute)} {
 		n.Peers.Record(stopping, Heartbeat{Incarnation: uint64(saidAt.Unix()), Sequence: 1, Leaving: true}, saidAt)
 		if hears := len(n.targets()) == 1; hears != (name == "stopping") {
--- a/internal/ffgossip/pull.go
+++ b/internal/ffgossip/pull.go
@@ -30,7 +30,7 @@
 // pullFrom pulls the snapshot of a peer unless this daemon has caught up meanwhile.
 func (n *Node) pullFrom(ctx context.Context, vm netip.Addr) {
 	peer, ok := n.Peers.Get(vm)
-	if !ok || peer.LastHeartbeat.Revision < n.State.Snapshot().Revision || peer.LastHeartbeat.Digest == n.digest() {
+	if !ok || peer.LastHeartbeat.Revision.Before(n.State.Snapshot().Revision) || peer.LastHeartbeat.Digest == n.digest() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxPullTime)
--- a/internal/ffgossip/read.go
+++ b/internal/ffgossip/read.go
@@ -31,7 +31,7 @@
 	revision, fleet := r.State.Listed()
 	version, digest := r.State.Snapshot().Version(), r.State.Snapshot().Digest()
 	var err error
-	if revision == 0 || r.needFullRead || r.largeVersion || started.Sub(r.lastFullRead) > fullReadEvery {
+	if revision == (Revision{}) || r.needFullRead || r.largeVersion || started.Sub(r.lastFullRead) > fullReadEvery {
 		err = r.readFull(ctx, started, progress)
 	} else {
 		err = r.readChanges(ctx, started, revision, fleet, progress)
@@ -56,7 +56,10 @@
 	if err != nil {
 		return err
 	}
-	_, known := r.State.Listed()
+	revision, known := r.State.Listed()
+	if full.Revision.Before(revision) {
+		r.Log.Warn().Stringer("known", revision).Stringer("read", full.Revision).Msg("store is older than what is known of it")
+	}
 	r.State.Merge(Reading{
 		From: "store", Revision: full.Revision, ConfirmedAt: started, Table: full.Table.WithRoutesOf(r.State.Table()),
 		Fleet: replaceFleet(known, full.Targets), RetainUntil: r.retainUntil(),
@@ -79,14 +82,14 @@
 	return known.With(changes)
 }
 
-func (r *Reader) readChanges(ctx context.Context, started time.Time, revision uint64, fleet fffleet.Fleet, progress func()) error {
+func (r *Reader) readChanges(ctx context.Context, started time.Time, revision Revision, fleet fffleet.Fleet, progress func()) error {
 	changes, lost, err := r.Source.Changes(ctx, revision, watchWait, progress)
 	if err != nil {
 		r.needFullRead = true
 		return err
 	}
 	if lost {
-		r.Log.Warn().Uint64("revision", revision).Msg("store no longer has the history after the revision")
+		r.Log.Warn().Stringer("revision", revision).Msg("store does not have the history after the revision")
 		return r.readFull(ctx, started, progress)
 	}
 	confirmed := started
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -66,7 +66,7 @@
 	readBy netip.Addr
 	// newest is the latest revision whose content another daemon has, and waitingSince
 	// when this daemon heard of it or last got a part of it.
-	newest       uint64
+	newest       Revision
 	waitingSince time.Time
 }
 
@@ -163,13 +163,15 @@
 }
 
 // HeardOfNewer records that another daemon has other content, of a later revision.
-func (r *Reader) HeardOfNewer(revision uint64, now time.Time) {
+func (r *Reader) HeardOfNewer(revision Revision, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.newest <= r.State.Snapshot().Revision {
+	if !r.State.Snapshot().Revision.Before(r.newest) {
 		r.waitingSince = now
 	}
-	r.newest = max(r.newest, revision)
+	if r.newest.Before(revision) {
+		r.newest = revision
+	}
 }
 
 // Progressed records that a part of newer content arrived.
@@ -183,7 +185,7 @@
 func (r *Reader) caughtUp() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.newest = 0
+	r.newest = Revision{}
 }
 
 // behindSince returns since when no part of the content that this daemon lacks arrived;
@@ -191,7 +193,7 @@
 func (r *Reader) behindSince() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.newest <= r.State.Snapshot().Revision {
+	if !r.State.Snapshot().Revision.Before(r.newest) {
 		return time.Time{}
 	}
 	return r.waitingSince
--- a/internal/ffgossip/reader_test.go
+++ b/internal/ffgossip/reader_test.go
@@ -49,13 +49,13 @@
 
 func (s *fakeStore) Read(ctx context.Context, progress func()) (*StoreContent, error) {
 	s.reads++
-	return &StoreContent{Revision: s.version, Table: s.table()}, s.send(ctx, progress)
+	return &StoreContent{Revision: Revision{Number: s.version}, Table: s.table()}, s.send(ctx, progress)
 }
 
-func (s *fakeStore) Changes(ctx context.Context, after uint64, _ time.Duration, progress func()) (*Changes, bool, error) {
+func (s *fakeStore) Changes(ctx context.Context, after Revision, _ time.Duration, progress func()) (*Changes, bool, error) {
 	s.changes++
-	c := &Changes{Revision: s.version}
-	if s.version > after {
+	c := &Changes{Revision: Revision{Number: s.version}}
+	if s.version > after.Number {
 		c.Table = s.table()
 	}
 	return c, false, s.send(ctx, progress)
@@ -90,7 +90,7 @@
 	}
 	r := &Reader{Source: s, State: &State{}, Self: ffdelegate.Member{VM: vmNumber(30)}, HeardAt: time.Now}
 	r.Others = func() (others, listed []ffdelegate.Member) { return members, members }
-	r.State.Merge(Reading{Revision: s.version, ConfirmedAt: time.Now(), Table: s.table()})
+	r.State.Merge(Reading{Revision: Revision{Number: s.version}, ConfirmedAt: time.Now(), Table: s.table()})
 	r.Confirmed(vmNumber(0))
 	return r
 }
@@ -102,7 +102,7 @@
 		s := &fakeStore{version: 1}
 		r := newMember(s)
 		s.version = 2
-		r.HeardOfNewer(2, time.Now())
+		r.HeardOfNewer(Revision{Number: 2}, time.Now())
 		ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
 		defer cancel()
 		r.run(ctx)
@@ -121,7 +121,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{version: 1}
 		r := newMember(s)
-		r.HeardOfNewer(1<<60, time.Now())
+		r.HeardOfNewer(Revision{Number: 1 << 60}, time.Now())
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		r.run(ctx)
@@ -155,7 +155,7 @@
 		s := &fakeStore{version: 1, chunks: 2, gap: 100 * time.Millisecond}
 		r := &Reader{Source: s, State: &State{}, Self: ffdelegate.Member{VM: vmNumber(1)}}
 		time.AfterFunc(s.gap, func() {
-			r.State.Merge(Reading{Revision: 1, ConfirmedAt: time.Now(), Table: s.table()})
+			r.State.Merge(Reading{Revision: Revision{Number: 1}, ConfirmedAt: time.Now(), Table: s.table()})
 			r.Confirmed(vmNumber(0))
 		})
 		r.read(t.Context())
--- a/internal/ffgossip/reading.go
+++ b/internal/ffgossip/reading.go
@@ -11,7 +11,7 @@
 type Reading struct {
 	// From names the source in the log.
 	From     string
-	Revision uint64
+	Revision Revision
 	// ConfirmedAt is when the content was last known to be current.
 	ConfirmedAt time.Time
 	// Table is nil if it is the known one, or if there is no valid configuration.
--- a/internal/ffgossip/receive.go
+++ b/internal/ffgossip/receive.go
@@ -50,7 +50,7 @@
 		return
 	}
 	n.Reader.Heard(h.ReadBy, h.Age)
-	if h.Revision < w.Revision {
+	if h.Revision.Before(w.Revision) {
 		return
 	}
 	if h.Digest == n.digest() {
@@ -59,7 +59,7 @@
 		}
 		return
 	}
-	if h.Revision > w.Revision {
+	if w.Revision.Before(h.Revision) {
 		n.Reader.HeardOfNewer(h.Revision, now)
 	}
 	select {
--- a/internal/ffgossip/snapshot.go
+++ b/internal/ffgossip/snapshot.go
@@ -10,7 +10,7 @@
 
 // Snapshot is an immutable snapshot of the store's content at one revision.
 type Snapshot struct {
-	Revision uint64
+	Revision Revision
 	// ConfirmedAt is when the content was last known to be current.
 	ConfirmedAt time.Time
 	// Table is nil while no configuration is known.
--- a/internal/ffgossip/source.go
+++ b/internal/ffgossip/source.go
@@ -16,14 +16,14 @@
 	// Read returns the configuration and all targets.
 	Read(ctx context.Context, progress func()) (*StoreContent, error)
 	// Changes returns the changes after a revision and waits up to wait for the first
-	// one. lost reports that the store no longer has the history after that revision,
-	// so that a complete read is needed.
-	Changes(ctx context.Context, after uint64, wait time.Duration, progress func()) (changes *Changes, lost bool, err error)
+	// one. lost reports that the store does not have the history after that revision, so
+	// that a complete read is needed: it was dropped, or belongs to an earlier era.
+	Changes(ctx context.Context, after Revision, wait time.Duration, progress func()) (changes *Changes, lost bool, err error)
 }
 
 // StoreContent is the configuration and all targets in the store at one revision.
 type StoreContent struct {
-	Revision uint64
+	Revision Revision
 	// Table is nil when there is no valid configuration.
 	Table   *ffroute.Table
 	Targets []fffleet.Target
@@ -31,7 +31,7 @@
 
 // Changes holds the changes up to a revision.
 type Changes struct {
-	Revision uint64
+	Revision Revision
 	// Table is the newest configuration among the changes, or nil.
 	Table   *ffroute.Table
 	Targets []fffleet.Change
--- a/internal/ffgossip/spread_test.go
+++ b/internal/ffgossip/spread_test.go
@@ -21,7 +21,7 @@
 		offer := func(revision, version uint64) {
 			table := &ffroute.Table{Version: version}
 			table.Index()
-			s.Merge(ffgossip.Reading{From: "test", Revision: revision, ConfirmedAt: time.Now(), Table: table, Fleet: fffleet.New([]fffleet.Target{{ID: fmt.Sprint("t", version), Service: "s"}})})
+			s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: revision}, ConfirmedAt: time.Now(), Table: table, Fleet: fffleet.New([]fffleet.Target{{ID: fmt.Sprint("t", version), Service: "s"}})})
 		}
 		h := &ffgossip.ContentHandler{State: s}
 		get := func() (body, age string) {
--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -72,7 +72,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.Snapshot()
-	if r.Revision < old.Revision {
+	if r.Revision.Before(old.Revision) {
 		s.mergeTable(r.From, old, r.Table)
 		return
 	}
@@ -141,7 +141,7 @@
 	if old.Digest() == next.Digest() {
 		return
 	}
-	s.Log.Info().Str("from", from).Uint64("revision", next.Revision).Uint64("version", next.Version()).
+	s.Log.Info().Str("from", from).Stringer("revision", next.Revision).Uint64("version", next.Version()).
 		Int("targets", next.Fleet.Len()).Int("held", len(s.held)).Strs("withdrawn", next.Fleet.Withdrawn(old.Fleet)).
 		Dur("age", time.Since(next.ConfirmedAt)).Msg("word changed")
 	if s.OnChange != nil {
@@ -151,11 +151,11 @@
 
 // Confirm records that the current content was still valid at a later revision, and
 // reports whether that was news.
-func (s *State) Confirm(revision uint64, confirmed time.Time) bool {
+func (s *State) Confirm(revision Revision, confirmed time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.Snapshot()
-	if revision < old.Revision || !confirmed.After(old.ConfirmedAt) {
+	if revision.Before(old.Revision) || !confirmed.After(old.ConfirmedAt) {
 		return false
 	}
 	next := *old
@@ -181,7 +181,7 @@
 
 // Listed returns the revision and the targets that the store listed last, without the
 // retained ones.
-func (s *State) Listed() (revision uint64, fleet fffleet.Fleet) {
+func (s *State) Listed() (revision Revision, fleet fffleet.Fleet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.Snapshot().Revision, s.listed
--- a/internal/ffgossip/state_test.go
+++ b/internal/ffgossip/state_test.go
@@ -30,12 +30,12 @@
 	for _, step := range []struct {
 		revision, version, want uint64
 	}{{5, 3, 3}, {6, 2, 3}, {4, 4, 4}, {7, 4, 4}, {3, 1, 4}} {
-		s.Merge(ffgossip.Reading{From: "test", Revision: step.revision, ConfirmedAt: now, Table: version(step.version), Fleet: fleet("a")})
+		s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: step.revision}, ConfirmedAt: now, Table: version(step.version), Fleet: fleet("a")})
 		if got := s.Snapshot().Version(); got != step.want {
 			t.Errorf("after %+v: version %d", step, got)
 		}
 	}
-	s.Merge(ffgossip.Reading{From: "test", Revision: 9, ConfirmedAt: now, Fleet: fleet("a")})
+	s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 9}, ConfirmedAt: now, Fleet: fleet("a")})
 	if s.Table() == nil {
 		t.Error("a snapshot without a configuration removed the current one")
 	}
@@ -46,20 +46,20 @@
 // at any other time is dropped at once.
 func TestTargetsAfterOutage(t *testing.T) {
 	var s ffgossip.State
-	s.Merge(ffgossip.Reading{From: "test", Revision: 1, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a", "b")})
-	s.Merge(ffgossip.Reading{From: "test", Revision: 2, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a")})
+	s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 1}, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a", "b")})
+	s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 2}, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a")})
 	if _, ok := s.Fleet().Get("b"); ok {
 		t.Error("a target that was removed is still used")
 	}
 	s = ffgossip.State{}
-	s.Merge(ffgossip.Reading{From: "test", Revision: 1, ConfirmedAt: time.Now().Add(-5 * time.Second), Table: version(1), Fleet: fleet("a", "b")})
-	s.Merge(ffgossip.Reading{From: "test", Revision: 2, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a"), RetainUntil: time.Now().Add(2 * time.Second)})
+	s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 1}, ConfirmedAt: time.Now().Add(-5 * time.Second), Table: version(1), Fleet: fleet("a", "b")})
+	s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 2}, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a"), RetainUntil: time.Now().Add(2 * time.Second)})
 	if _, ok := s.Fleet().Get("b"); !ok {
 		t.Error("a target that may have expired during the outage is not used")
 	}
 	returned := time.Now()
 	for rev := uint64(3); ; rev++ {
-		s.Merge(ffgossip.Reading{From: "test", Revision: rev, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a")})
+		s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: rev}, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a")})
 		if _, ok := s.Fleet().Get("b"); !ok {
 			break
 		}
@@ -85,8 +85,8 @@
 		"outage of another daemon": {0, time.Now().Add(2 * time.Second)},
 	} {
 		var s ffgossip.State
-		s.Merge(ffgossip.Reading{From: "test", Revision: 1, ConfirmedAt: time.Now().Add(-tc.age), Table: version(1), Fleet: fleet("a", "b")})
-		s.Merge(ffgossip.Reading{From: "test", Revision: 2, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a"), RetainUntil: tc.until})
+		s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 1}, ConfirmedAt: time.Now().Add(-tc.age), Table: version(1), Fleet: fleet("a", "b")})
+		s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 2}, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a"), RetainUntil: tc.until})
 		if _, ok := s.Fleet().Get("b"); ok {
 			t.Errorf("%s: a removed target is still used", name)
 		}
@@ -97,10 +97,10 @@
 // leaving, whose entry expired in an outage of the store, once many others have left.
 func TestRetainedTargetStaysLeaving(t *testing.T) {
 	var s ffgossip.State
-	s.Merge(ffgossip.Reading{From: "test", Revision: 1, ConfirmedAt: time.Now().Add(-5 * time.Second), Table: version(1), Fleet: fleet("a", "b")})
+	s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 1}, ConfirmedAt: time.Now().Add(-5 * time.Second), Table: version(1), Fleet: fleet("a", "b")})
 	leaving, _ := s.Fleet().Get("b")
 	s.MarkLeaving(leaving)
-	s.Merge(ffgossip.Reading{From: "test", Revision: 2, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a"), RetainUntil: time.Now().Add(time.Minute)})
+	s.Merge(ffgossip.Reading{From: "test", Revision: ffgossip.Revision{Number: 2}, ConfirmedAt: time.Now(), Table: version(1), Fleet: fleet("a"), RetainUntil: time.Now().Add(time.Minute)})
 	for i := range 300 {
 		s.MarkLeaving(fffleet.Target{ID: fmt.Sprint("other", i)})
 	}
