Targets that had left get no calls when the store comes back from a copy

Cause: a copy from before a target's removal lists it as ready, and a daemon took what the store listed. Change: daemons remember the last entries of removed targets for a minute. In a later era an entry that is not newer counts as draining; a target that is alive writes a newer one.

Red before: TestRestoredEntryOfLeftTarget, 38 to 40 of 40 requests reached the target after the return ("removed" and "drained, removed"; "draining, present" held before).

--- a/internal/fffleet/target.go
+++ b/internal/fffleet/target.go
@@ -42,6 +42,11 @@
 	return t.Sequence < u.Sequence
 }
 
+// sameEntry reports whether t and u are the same entry of the same run of a target.
+func (t Target) sameEntry(u Target) bool {
+	return t.StartMillis != 0 && t.StartMillis == u.StartMillis && t.Sequence == u.Sequence
+}
+
 // supersedes reports whether t is a later target than u at the same address.
 func (t Target) supersedes(u Target) bool {
 	if t.StartMillis != u.StartMillis {
--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -29,6 +29,10 @@
 	held      []fffleet.Target
 	heldUntil time.Time
 	leaving   fffleet.Leaving
+	// departed holds the targets that were removed in the current era of the store, and
+	// departedBefore those removed in earlier ones.
+	departed       fffleet.Departed
+	departedBefore fffleet.Departed
 	// recentTables are the last configurations, from which deltas are computed for
 	// peers that are slightly behind.
 	recentTables []*ffroute.Table
@@ -80,8 +84,10 @@
 	if r.ConfirmedAt.Before(old.ConfirmedAt) {
 		next.ConfirmedAt = old.ConfirmedAt
 	}
-	s.holdMissing(old, r.Fleet, r.RetainUntil)
-	s.recordFleet(r.Fleet)
+	s.recordDeparted(old, r)
+	fleet := r.Fleet.WithDeparted(s.departedBefore)
+	s.holdMissing(old, fleet, r.RetainUntil)
+	s.recordFleet(fleet)
 	next.Fleet = s.usable()
 	s.publish(r.From, old, next)
 }
@@ -161,6 +167,9 @@
 	next := *old
 	next.Revision = revision
 	next.ConfirmedAt = confirmed
+	if revision.Era != old.Revision.Era {
+		s.startEra()
+	}
 	s.holdMissing(old, s.listed, time.Time{})
 	next.Fleet = s.usable()
 	s.publish("confirmation", old, &next)
--- a/internal/ffgossip/usabletargets.go
+++ b/internal/ffgossip/usabletargets.go
@@ -20,10 +20,34 @@
 // retained are forgotten.
 const maxLeaving = 256
 
+// departedFor is how long a removed target is remembered: a store does not come back from
+// a copy that is older.
+const departedFor = time.Minute
+
 // usable returns the targets to use: the listed and the retained ones, without calls to
 // those that said that they are leaving. The caller holds the lock.
 func (s *State) usable() fffleet.Fleet { return s.listed.Union(s.held).WithLeaving(s.leaving) }
 
+// recordDeparted records the targets that r no longer lists. A target that is not listed in
+// a new era may only be missing in the copy. The caller holds the lock.
+func (s *State) recordDeparted(old *Snapshot, r Reading) {
+	if r.Revision.Era != old.Revision.Era {
+		s.startEra()
+		return
+	}
+	if gone := s.listed.Difference(r.Fleet); len(gone) > 0 {
+		now := time.Now()
+		s.departed = s.departed.With(gone, now.Add(departedFor), now)
+	}
+}
+
+// startEra notes that the store came back from a copy. The caller holds the lock.
+func (s *State) startEra() {
+	now := time.Now()
+	s.departedBefore = s.departedBefore.Union(s.departed).With(nil, now, now)
+	s.departed = fffleet.Departed{}
+}
+
 // MarkLeaving records that the run t of a target said that it is leaving. That run gets
 // no new calls from now on, whatever the store or other daemons say of it.
 func (s *State) MarkLeaving(t fffleet.Target) { s.endCalls(t, "target says that it is leaving") }
