Targets that are missing in the copy of a store stay in use for two seconds

Cause: a store that comes back from a copy does not list the targets that registered since; daemons dropped them at once, though they live and write again within two seconds. After an outage of over 1.5 s they were retained already.

--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -84,9 +84,10 @@
 	if r.ConfirmedAt.Before(old.ConfirmedAt) {
 		next.ConfirmedAt = old.ConfirmedAt
 	}
-	s.recordDeparted(old, r)
+	newEra := r.Revision.Era != old.Revision.Era
+	s.recordDeparted(r.Fleet, newEra)
 	fleet := r.Fleet.WithDeparted(s.departedBefore)
-	s.holdMissing(old, fleet, r.RetainUntil)
+	s.holdMissing(old, fleet, r.RetainUntil, newEra)
 	s.recordFleet(fleet)
 	next.Fleet = s.usable()
 	s.publish(r.From, old, next)
@@ -170,7 +171,7 @@
 	if revision.Era != old.Revision.Era {
 		s.startEra()
 	}
-	s.holdMissing(old, s.listed, time.Time{})
+	s.holdMissing(old, s.listed, time.Time{}, false)
 	next.Fleet = s.usable()
 	s.publish("confirmation", old, &next)
 	return true
--- a/internal/ffgossip/usabletargets.go
+++ b/internal/ffgossip/usabletargets.go
@@ -28,14 +28,14 @@
 // those that said that they are leaving. The caller holds the lock.
 func (s *State) usable() fffleet.Fleet { return s.listed.Union(s.held).WithLeaving(s.leaving) }
 
-// recordDeparted records the targets that r no longer lists. A target that is not listed in
-// a new era may only be missing in the copy. The caller holds the lock.
-func (s *State) recordDeparted(old *Snapshot, r Reading) {
-	if r.Revision.Era != old.Revision.Era {
+// recordDeparted records the targets that are not in fleet any more. A target that is not
+// listed in a new era may only be missing in the copy. The caller holds the lock.
+func (s *State) recordDeparted(fleet fffleet.Fleet, newEra bool) {
+	if newEra {
 		s.startEra()
 		return
 	}
-	if gone := s.listed.Difference(r.Fleet); len(gone) > 0 {
+	if gone := s.listed.Difference(fleet); len(gone) > 0 {
 		now := time.Now()
 		s.departed = s.departed.With(gone, now.Add(departedFor), now)
 	}
@@ -77,10 +77,15 @@
 }
 
 // holdMissing retains the targets that disappeared during an outage of the store until a
-// time, or until they are listed again. The caller holds the lock.
-func (s *State) holdMissing(old *Snapshot, fleet fffleet.Fleet, until time.Time) {
+// time, or until they are listed again. In a new era of the store all that are missing are
+// retained, since the store may have lost their entries. The caller holds the lock.
+func (s *State) holdMissing(old *Snapshot, fleet fffleet.Fleet, until time.Time, newEra bool) {
 	now := time.Now()
-	if until.After(now) && !old.ConfirmedAt.IsZero() && now.Sub(old.ConfirmedAt) > outageAge {
+	outage := until.After(now) && now.Sub(old.ConfirmedAt) > outageAge
+	if newEra {
+		until = now.Add(expiryGrace)
+	}
+	if !old.ConfirmedAt.IsZero() && (outage || newEra) {
 		s.heldUntil = until
 		s.held = s.listed.Difference(fleet)
 	}
