An entry whose target is not there hides no other target at its address

Cause: of two entries with one address the one with the later start counts, also when its target answers with 421 that it is not the one meant. One entry of another writer could so take a live target out of use for good. Change: a run that another target has replaced is in a state of its own and hides none.

Red before: TestEntryHidesLiveTarget, no request served within 10 s.

--- a/internal/fffleet/leaving.go
+++ b/internal/fffleet/leaving.go
@@ -2,8 +2,8 @@
 
 import "maps"
 
-// Leaving holds the runs of targets that said themselves that they are leaving, or that
-// others have replaced, which the store may not know. It is immutable, and the zero value is empty.
+// Leaving holds runs of targets that are leaving, or that others have replaced, which the
+// store may not know. It is immutable, and the zero value is empty.
 type Leaving struct{ runs map[string]Target }
 
 // Len returns the number of runs.
@@ -40,12 +40,18 @@
 }
 
 // WithLeaving returns f with the runs in l draining, whatever their entries say.
-func (f Fleet) WithLeaving(l Leaving) Fleet {
+func (f Fleet) WithLeaving(l Leaving) Fleet { return f.withState(l, StateDraining) }
+
+// WithReplaced returns f with the runs in l replaced, whatever their entries say.
+func (f Fleet) WithReplaced(l Leaving) Fleet { return f.withState(l, StateReplaced) }
+
+// withState returns f with the runs in l in a state, unless they are in a later one.
+func (f Fleet) withState(l Leaving, state State) Fleet {
 	var changes []Change
 	for id := range l.runs {
 		t, ok := f.Get(id)
-		if ok && t.State == StateReady && l.Has(t) {
-			t.State = StateDraining
+		if ok && t.State < state && l.Has(t) {
+			t.State = state
 			changes = append(changes, Change{ID: id, Target: &t})
 		}
 	}
--- a/internal/fffleet/serving.go
+++ b/internal/fffleet/serving.go
@@ -32,6 +32,9 @@
 func (f *Fleet) index() {
 	f.latest = make(map[netip.AddrPort]*Target, len(f.targets))
 	for _, t := range f.targets {
+		if t.State == StateReplaced {
+			continue
+		}
 		if last, ok := f.latest[t.Address]; !ok || t.supersedes(*last) {
 			f.latest[t.Address] = t
 		}
--- a/internal/fffleet/state_string.go
+++ b/internal/fffleet/state_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[StateReady-0]
 	_ = x[StateDraining-1]
+	_ = x[StateReplaced-2]
 }
 
-const _State_name = "readydraining"
+const _State_name = "readydrainingreplaced"
 
-var _State_index = [...]uint8{0, 5, 13}
+var _State_index = [...]uint8{0, 5, 13, 21}
 
 func (i State) String() string {
 	idx := int(i) - 0
--- a/internal/fffleet/target.go
+++ b/internal/fffleet/target.go
@@ -4,13 +4,14 @@
 
 //go:generate stringer -type=State -linecomment -output=state_string.go
 
-// State is the state that a target reports.
+// State is the state that a target reports, or that it is known to be in.
 type State int
 
-// States of a target.
+// States of a target. None reports StateReplaced: another target answers at its address.
 const (
 	StateReady    State = iota // ready
 	StateDraining              // draining
+	StateReplaced              // replaced
 )
 
 // Target is one run of a process that serves requests.
--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -29,6 +29,7 @@
 	held      []fffleet.Target
 	heldUntil time.Time
 	leaving   fffleet.Leaving
+	replaced  fffleet.Leaving
 	// departed holds the targets that were removed in the current era of the store, and
 	// departedBefore those removed in earlier ones.
 	departed       fffleet.Departed
--- a/internal/ffgossip/usabletargets.go
+++ b/internal/ffgossip/usabletargets.go
@@ -16,8 +16,8 @@
 	expiryGrace = 2 * time.Second
 )
 
-// maxLeaving is the number of leaving targets from which those that are neither listed nor
-// retained are forgotten.
+// maxLeaving is the number of leaving targets, and of replaced ones, from which those that
+// are neither listed nor retained are forgotten.
 const maxLeaving = 256
 
 // departedFor is how long a removed target is remembered: a store does not come back from
@@ -25,8 +25,11 @@
 const departedFor = time.Minute
 
 // usable returns the targets to use: the listed and the retained ones, without calls to
-// those that said that they are leaving. The caller holds the lock.
-func (s *State) usable() fffleet.Fleet { return s.listed.Union(s.held).WithLeaving(s.leaving) }
+// those that said that they are leaving and those that others have replaced. The caller
+// holds the lock.
+func (s *State) usable() fffleet.Fleet {
+	return s.listed.Union(s.held).WithLeaving(s.leaving).WithReplaced(s.replaced)
+}
 
 // recordDeparted records the targets that are not in fleet any more. A target that is not
 // listed in a new era may only be missing in the copy. The caller holds the lock.
@@ -50,25 +53,27 @@
 
 // MarkLeaving records that the run t of a target said that it is leaving. That run gets
 // no new calls from now on, whatever the store or other daemons say of it.
-func (s *State) MarkLeaving(t fffleet.Target) { s.endCalls(t, "target says that it is leaving") }
+func (s *State) MarkLeaving(t fffleet.Target) {
+	s.endCalls(t, &s.leaving, "target says that it is leaving")
+}
 
 // MarkReplaced records that another target answers at the address of the run t, which gets
-// no new calls from now on.
+// no new calls from now on and hides no other target there.
 func (s *State) MarkReplaced(t fffleet.Target) {
-	s.endCalls(t, "another target answers in place of this one")
+	s.endCalls(t, &s.replaced, "another target answers in place of this one")
 }
 
-// endCalls keeps new calls off the run t and logs the reason, the first time.
-func (s *State) endCalls(t fffleet.Target, reason string) {
+// endCalls adds the run t to runs, which get no new calls, and logs the reason.
+func (s *State) endCalls(t fffleet.Target, runs *fffleet.Leaving, reason string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving.Has(t) {
+	if runs.Has(t) {
 		return
 	}
-	if s.leaving.Len() >= maxLeaving {
-		s.leaving = s.leaving.Within(s.listed.Union(s.held))
+	if runs.Len() >= maxLeaving {
+		*runs = runs.Within(s.listed.Union(s.held))
 	}
-	s.leaving = s.leaving.With(t)
+	*runs = runs.With(t)
 	s.Log.Info().Str("target", t.ID).Stringer("listed", t.State).Msg(reason)
 	old := s.Snapshot()
 	next := *old
