A retry is taken out of the budget only when there is a target for it

Cause: the budget was charged when a retry was decided, before a target was chosen. Where no other one could take it, a part of the budget was lost, which others could have used. Change: choose first. The log line of a failed offer says noTarget then, where it said repeat.

Red before: TestRetryWithoutTargetSpendsBudget, 3 of 8 retries left after 20 requests, none made.

--- a/internal/ffoutbound/enum_string.go
+++ b/internal/ffoutbound/enum_string.go
@@ -13,11 +13,12 @@
 	_ = x[stepMayHaveRun-2]
 	_ = x[stepAttemptsSpent-3]
 	_ = x[stepBudgetSpent-4]
+	_ = x[stepNoTarget-5]
 }
 
-const _nextStep_name = "repeatbodySpentmayHaveRunattemptsSpentbudgetSpent"
+const _nextStep_name = "repeatbodySpentmayHaveRunattemptsSpentbudgetSpentnoTarget"
 
-var _nextStep_index = [...]uint8{0, 6, 15, 25, 38, 49}
+var _nextStep_index = [...]uint8{0, 6, 15, 25, 38, 49, 57}
 
 func (i nextStep) String() string {
 	idx := int(i) - 0
--- a/internal/ffoutbound/hedge.go
+++ b/internal/ffoutbound/hedge.go
@@ -151,7 +151,7 @@
 	if !r.mayHedge() {
 		return fffleet.Target{}, false
 	}
-	choice, ok := h.Picker.Pick(h.Config.Fleet(), r.call, r.tried, now)
+	choice, ok := r.pick(now)
 	if !ok || choice.Wait > 0 || choice.Busy > maxBusy || choice.Cost > time.Until(r.call.Deadline) || !h.Budget.TryRetry(r.call.Service, r.call.Priority, r.clientRetry, now) {
 		return fffleet.Target{}, false
 	}
--- a/internal/ffoutbound/retry.go
+++ b/internal/ffoutbound/retry.go
@@ -18,35 +18,44 @@
 	stepMayHaveRun                    // mayHaveRun
 	stepAttemptsSpent                 // attemptsSpent
 	stepBudgetSpent                   // budgetSpent
+	stepNoTarget                      // noTarget
 )
 
-// shouldRetry decides whether to offer the request to another target, and logs why.
-func (r *run) shouldRetry(ctx context.Context) bool {
+// next returns the choice for another offer after a failed one, and whether to make it. It
+// logs why.
+func (r *run) next(ctx context.Context) (Choice, bool) {
 	if r.succeeded() || ctx.Err() != nil {
-		return false
+		return Choice{}, false
 	}
-	next := r.nextStep()
+	choice, step := r.nextOffer()
 	r.handler.Log.Info().Str("request", r.call.ID).Str("route", r.route.Name).Uint64("version", r.table.Version).
 		Str("target", r.choice.Target.ID).Stringer("peer", r.choice.Target.VM()).
 		Dur("cost", r.choice.Cost).Dur("factAge", r.choice.LoadAge).Int("candidates", r.choice.Candidates).
 		Stringer("outcome", r.reply.Outcome).Stringer("reason", r.reply.Reason).Int("status", r.reply.Status).
-		Int("arrivals", r.arrivals).Stringer("next", next).Msg("offer failed")
-	return next == stepRepeat
+		Int("arrivals", r.arrivals).Stringer("next", step).Msg("offer failed")
+	return choice, step == stepRepeat
 }
 
-// nextStep decides what follows a failed offer.
-func (r *run) nextStep() nextStep {
+// nextOffer decides what follows a failed offer. A retry is taken out of the budget only if
+// there is a target for it.
+func (r *run) nextOffer() (Choice, nextStep) {
 	switch {
 	case r.call.Stream != nil && r.reply.Reason != ffmesh.ReasonConnect:
-		return stepBodySpent
+		return Choice{}, stepBodySpent
 	case r.mayHaveRun && !r.route.Kind.Idempotent():
-		return stepMayHaveRun
-	case r.reply.Arrived && r.arrivals >= max(r.route.Attempts, 1):
-		return stepAttemptsSpent
-	case r.reply.Arrived && !r.handler.Budget.TryRetry(r.call.Service, r.call.Priority, r.clientRetry, time.Now()):
-		return stepBudgetSpent
+		return Choice{}, stepMayHaveRun
+	case r.reply.Arrived && r.arrivals >= max(r.route.Attempts, 1) || r.offers >= maxOffers:
+		return Choice{}, stepAttemptsSpent
+	}
+	now := time.Now()
+	choice, ok := r.pick(now)
+	switch {
+	case !ok || !choice.worthRetry(r.call, now):
+		return Choice{}, stepNoTarget
+	case r.reply.Arrived && !r.handler.Budget.TryRetry(r.call.Service, r.call.Priority, r.clientRetry, now):
+		return Choice{}, stepBudgetSpent
 	}
-	return stepRepeat
+	return choice, stepRepeat
 }
 
 // worthRetry reports whether a refused call should be offered to the chosen target: one that
--- a/internal/ffoutbound/retry_test.go
+++ b/internal/ffoutbound/retry_test.go
@@ -55,3 +55,41 @@
 		t.Errorf("status %d", w.Code)
 	}
 }
+
+// oneUnsafe is a configuration with one route, for requests that may be offered twice, to
+// one target.
+type oneUnsafe struct{ oneRoute }
+
+func (oneUnsafe) Table() *ffroute.Table { return twoUnsafe{}.Table() }
+
+// sheddingGate is the gate of a target that rejects every call.
+type sheddingGate struct{}
+
+func (g sheddingGate) Gate(netip.Addr) ffmesh.Gate { return g }
+
+func (sheddingGate) Do(_ context.Context, c *ffmesh.Call) *ffmesh.Reply {
+	return &ffmesh.Reply{Outcome: ffmesh.OutcomeNotRun, Reason: ffmesh.ReasonShed, Arrived: true, Load: ffmesh.Load{Target: c.Target}}
+}
+
+// TestRetryWithoutTargetSpendsBudget guards against a budget that is spent on retries which
+// are not made, since there is no other target.
+func TestRetryWithoutTargetSpendsBudget(t *testing.T) {
+	const allowed, requests = 10, 20
+	budget := &ffoutbound.RetryBudget{FirstStart: true}
+	budget.Set(ffoutbound.RetryBudgetConfig{MinRetries: allowed, Window: time.Minute}, 1, time.Now())
+	h := &ffoutbound.Handler{
+		Origin: func() string { return "o" }, Config: oneUnsafe{}, Gates: sheddingGate{}, Dialect: plainDialect{},
+		Picker: &ffoutbound.Picker{Loads: &ffoutbound.LoadTracker{}}, Budget: budget,
+	}
+	before := budget.Remaining(time.Now())
+	for range requests {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://h/x", http.NoBody))
+		if w.Code != http.StatusServiceUnavailable {
+			t.Errorf("status %d", w.Code)
+		}
+	}
+	if left := budget.Remaining(time.Now()); left != before {
+		t.Errorf("%.1f of %.1f retries are left, though none was made", left, before)
+	}
+}
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -38,34 +38,23 @@
 
 // do offers the request to targets until one succeeds or no other may be tried.
 func (r *run) do(ctx context.Context) {
-	r.handler.Budget.RecordRequest(r.call.Service, r.call.Priority, r.call.RepeatShare, time.Now())
-	for r.offers < maxOffers && ctx.Err() == nil {
-		if !r.pick() {
-			return
-		}
-		r.send(ctx)
-		if !r.shouldRetry(ctx) {
-			return
-		}
+	now := time.Now()
+	r.handler.Budget.RecordRequest(r.call.Service, r.call.Priority, r.call.RepeatShare, now)
+	for choice, ok := r.pick(now); ok && ctx.Err() == nil; choice, ok = r.next(ctx) {
+		r.send(ctx, choice)
 	}
 }
 
-// pick chooses the next target and reports whether there is one.
-func (r *run) pick() bool {
-	now := time.Now()
-	h := r.handler
-	choice, ok := h.Picker.Pick(h.Config.Fleet(), r.call, r.tried, now)
-	if !ok || r.offers > 0 && !choice.worthRetry(r.call, now) {
-		return false
-	}
-	r.choice = choice
-	r.tried[choice.Target.ID] = true
-	return true
+// pick chooses a target that was not tried, and reports whether there is one.
+func (r *run) pick(now time.Time) (Choice, bool) {
+	return r.handler.Picker.Pick(r.handler.Config.Fleet(), r.call, r.tried, now)
 }
 
 // send offers the request to the chosen target.
-func (r *run) send(ctx context.Context) {
-	h, t := r.handler, r.choice.Target
+func (r *run) send(ctx context.Context, choice Choice) {
+	h, t := r.handler, choice.Target
+	r.choice = choice
+	r.tried[t.ID] = true
 	r.offers++
 	if r.route.Kind.Idempotent() && r.call.Stream == nil {
 		r.reply = r.sendHedged(ctx, t)
