The retry budget of a mesh is a decision of its own, without locks

It stood in ffoutbound with a lock and a window in one type. ffbudget decides, its window in a file of its own; ffoutbound adds the lock. Tests and replayed loads moved with it, with the same bounds.

--- a/internal/ffoutbound/budget_test.go
+++ b/internal/ffbudget/budget_test.go
@@ -1,4 +1,4 @@
-package ffoutbound_test
+package ffbudget_test
 
 import (
 	"encoding/json"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
+	"fireflyfall.dev/fireflyfall/internal/ffbudget"
 )
 
 // Bounds of the fleet's budget, as the users state them.
@@ -58,10 +58,10 @@
 // play returns the times, in milliseconds, of all requests and retries.
 func (l budgetLoad) play() (requests, retries []int) {
 	start := time.Unix(1000, 0)
-	config := ffoutbound.RetryBudgetConfig{Ratio: budgetRatio, MinRetries: budgetSlack, Window: budgetWindowMs * time.Millisecond}
-	budgets := make([]*ffoutbound.RetryBudget, l.Entries)
+	config := ffbudget.Config{Ratio: budgetRatio, MinRetries: budgetSlack, Window: budgetWindowMs * time.Millisecond}
+	budgets := make([]*ffbudget.Budget, l.Entries)
 	for i := range budgets {
-		budgets[i] = &ffoutbound.RetryBudget{FirstStart: true}
+		budgets[i] = &ffbudget.Budget{FirstStart: true}
 	}
 	arrived := 0.0
 	for ms := 0; ms < l.ForMs; ms += entryStepMs {
@@ -69,7 +69,7 @@
 		arrived += l.rate(ms) * entryStepMs / 1000
 		for i := range budgets {
 			if i < l.Restarting && slices.Contains(l.RestartAtMs, ms) {
-				budgets[i] = &ffoutbound.RetryBudget{}
+				budgets[i] = &ffbudget.Budget{}
 			}
 			budgets[i].Set(config, l.known(i, ms), now)
 		}
@@ -119,3 +119,71 @@
 		})
 	}
 }
+
+// TestBudget checks that the retries of all entries together stay within the fleet's
+// budget in every window.
+func TestBudget(t *testing.T) {
+	const entries, ratio, slack = 4, 0.2, 40
+	var all [entries]ffbudget.Budget
+	var retries, requests []time.Time
+	start := time.Unix(1000, 0)
+	for i := range all {
+		all[i].FirstStart = true
+		all[i].Set(ffbudget.Config{Ratio: ratio, MinRetries: slack, Window: 10 * time.Second}, entries, start)
+	}
+	for tick := range 3000 {
+		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+		for i := range all {
+			if tick%10 == 0 {
+				all[i].RecordRequest("s", 0, 0, now)
+				requests = append(requests, now)
+			}
+			if all[i].TryRetry("s", 0, true, now) {
+				retries = append(retries, now)
+			}
+		}
+	}
+	count := func(times []time.Time, from time.Time) (n float64) {
+		for _, at := range times {
+			if !at.Before(from) && at.Before(from.Add(10*time.Second)) {
+				n++
+			}
+		}
+		return n
+	}
+	for s := 0; s <= 20; s++ {
+		from := start.Add(time.Duration(s) * time.Second)
+		if got, most := count(retries, from), ratio*count(requests, from)+slack; got > most {
+			t.Errorf("from second %d: %v retries, %v allowed", s, got, most)
+		}
+	}
+	if len(retries) == 0 {
+		t.Error("no retry was allowed")
+	}
+}
+
+// TestBudgetPriorities checks that calls of the lowest priority leave a part of the
+// budget to those of higher priority, and a part to clients that ask again.
+func TestBudgetPriorities(t *testing.T) {
+	var b ffbudget.Budget
+	b.Set(ffbudget.Config{Ratio: 0.2, MinRetries: 10, Window: 10 * time.Second}, 1, time.Unix(900, 0))
+	now := time.Unix(1000, 0)
+	const high, low = 1, 2
+	for range 100 {
+		b.RecordRequest("s", high, 0, now)
+		b.RecordRequest("s", low, 0, now)
+	}
+	spend := func(priority int, clientRetry bool) (n int) {
+		for b.TryRetry("s", priority, clientRetry, now) {
+			n++
+		}
+		return n
+	}
+	lowRetries, highRetries, clientRetries := spend(low, false), spend(high, false), spend(low, true)
+	if lowRetries < 10 || highRetries < 5 || clientRetries < 10 {
+		t.Errorf("%d retries of the lowest priority left %d to the highest and %d to clients that ask again", lowRetries, highRetries, clientRetries)
+	}
+	if all := lowRetries + highRetries + clientRetries; all > 50 {
+		t.Errorf("%d retries, 50 allowed", all)
+	}
+}
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -62,7 +62,7 @@
 }
 
 func provideBudget(s Settings) *ffoutbound.RetryBudget {
-	b := &ffoutbound.RetryBudget{FirstStart: s.FirstStart}
+	b := ffoutbound.NewRetryBudget(s.FirstStart)
 	b.Set(s.RetryBudget, 1, time.Now())
 	return b
 }
--- a/internal/ffnode/settings.go
+++ b/internal/ffnode/settings.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
+	"fireflyfall.dev/fireflyfall/internal/ffbudget"
 )
 
 // Settings configure a daemon. They are set at its start and replaced at each reload.
@@ -25,7 +25,7 @@
 	// Store is the address of the platform's store.
 	Store string
 	// RetryBudget is the retry budget of the whole fleet.
-	RetryBudget ffoutbound.RetryBudgetConfig
+	RetryBudget ffbudget.Config
 	// FirstStart reports whether the whole deployment starts for the first time.
 	FirstStart bool
 	// StopGrace is the time between the request to stop and the forced end.
--- a/internal/ffoutbound/hedge.go
+++ b/internal/ffoutbound/hedge.go
@@ -152,7 +152,7 @@
 		return fffleet.Target{}, false
 	}
 	choice, ok := r.pick(now)
-	if !ok || choice.Wait > 0 || choice.Busy > maxBusy || choice.Cost > time.Until(r.call.Deadline) || !h.Budget.TryRetry(r.call.Service, r.call.Priority, r.clientRetry, now) {
+	if !ok || choice.Wait > 0 || choice.Busy > maxBusy || choice.Cost > time.Until(r.call.Deadline) || !h.Budget.tryRetry(r.call, r.clientRetry, now) {
 		return fffleet.Target{}, false
 	}
 	r.hedged = true
--- a/internal/ffoutbound/hedge_test.go
+++ b/internal/ffoutbound/hedge_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"fireflyfall.dev/fireflyfall/internal/ffbudget"
 	"fireflyfall.dev/fireflyfall/internal/fffleet"
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
@@ -73,7 +74,7 @@
 	g := hedgedGates{first: make(chan struct{}, 1), answered: make(chan struct{}), closed: make(chan struct{})}
 	g.first <- struct{}{}
 	budget := &ffoutbound.RetryBudget{}
-	budget.Set(ffoutbound.RetryBudgetConfig{Ratio: 1, MinRetries: 10, Window: time.Second}, 1, time.Now().Add(-time.Minute))
+	budget.Set(ffbudget.Config{Ratio: 1, MinRetries: 10, Window: time.Second}, 1, time.Now().Add(-time.Minute))
 	h := &ffoutbound.Handler{
 		Origin: func() string { return "o" }, Config: twoTargets{}, Gates: g, Dialect: plainDialect{},
 		Picker: &ffoutbound.Picker{Loads: &ffoutbound.LoadTracker{}}, Budget: budget,
@@ -126,7 +127,7 @@
 		g := stuckGates{first: make(chan struct{}, 1)}
 		g.first <- struct{}{}
 		budget := &ffoutbound.RetryBudget{}
-		budget.Set(ffoutbound.RetryBudgetConfig{Ratio: 1, MinRetries: 10, Window: time.Second}, 1, time.Now().Add(-time.Minute))
+		budget.Set(ffbudget.Config{Ratio: 1, MinRetries: 10, Window: time.Second}, 1, time.Now().Add(-time.Minute))
 		loads := &ffoutbound.LoadTracker{}
 		record := func(running int) {
 			for _, target := range (sixSlots{}).Fleet().All() {
--- a/internal/ffoutbound/retry.go
+++ b/internal/ffoutbound/retry.go
@@ -52,7 +52,7 @@
 	switch {
 	case !ok || !choice.worthRetry(r.call, now):
 		return Choice{}, stepNoTarget
-	case r.reply.Arrived && !r.handler.Budget.TryRetry(r.call.Service, r.call.Priority, r.clientRetry, now):
+	case r.reply.Arrived && !r.handler.Budget.tryRetry(r.call, r.clientRetry, now):
 		return Choice{}, stepBudgetSpent
 	}
 	return choice, stepRepeat
--- a/internal/ffoutbound/retry_test.go
+++ b/internal/ffoutbound/retry_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"fireflyfall.dev/fireflyfall/internal/ffbudget"
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
 	"fireflyfall.dev/fireflyfall/internal/ffroute"
@@ -75,8 +76,8 @@
 // are not made, since there is no other target.
 func TestRetryWithoutTargetSpendsBudget(t *testing.T) {
 	const allowed, requests = 10, 20
-	budget := &ffoutbound.RetryBudget{FirstStart: true}
-	budget.Set(ffoutbound.RetryBudgetConfig{MinRetries: allowed, Window: time.Minute}, 1, time.Now())
+	budget := ffoutbound.NewRetryBudget(true)
+	budget.Set(ffbudget.Config{MinRetries: allowed, Window: time.Minute}, 1, time.Now())
 	h := &ffoutbound.Handler{
 		Origin: func() string { return "o" }, Config: oneUnsafe{}, Gates: sheddingGate{}, Dialect: plainDialect{},
 		Picker: &ffoutbound.Picker{Loads: &ffoutbound.LoadTracker{}}, Budget: budget,
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -39,7 +39,7 @@
 // do offers the request to targets until one succeeds or no other may be tried.
 func (r *run) do(ctx context.Context) {
 	now := time.Now()
-	r.handler.Budget.RecordRequest(r.call.Service, r.call.Priority, r.call.RepeatShare, now)
+	r.handler.Budget.recordRequest(r.call, now)
 	for choice, ok := r.pick(now); ok && ctx.Err() == nil; choice, ok = r.next(ctx) {
 		r.send(ctx, choice)
 	}
