--- a/internal/ffbudget/budget.go
+++ b/internal/ffbudget/budget.go
@@ -71,14 +71,14 @@
 	return firstInterval + int64(now.Sub(b.startedAt)/max(b.config.Window/windowIntervals, 1))
 }
 
-// RecordRequest counts a request to a service. repeatShare is the probability that it
-// counts as a repeat, since a run that was itself a repeat made it.
-func (b *Budget) RecordRequest(service string, priority int, repeatShare float64, now time.Time) {
+// RecordRequest counts a request to a service. retryShare is the probability that it
+// counts as a retry, since a run that was itself a retry made it.
+func (b *Budget) RecordRequest(service string, priority int, retryShare float64, now time.Time) {
 	u := b.usage(service)
 	u.highest, u.lowest = min(u.highest, priority), max(u.lowest, priority)
 	counts := u.at(b.interval(now))
-	counts.requests += 1 - repeatShare
-	counts.retries += repeatShare
+	counts.requests += 1 - retryShare
+	counts.retries += retryShare
 }
 
 // TryRetry takes one retry of a call out of the budget and reports whether there was
--- a/internal/ffgossip/fuzz_test.go
+++ b/internal/ffgossip/fuzz_test.go
@@ -37,8 +37,8 @@
 // FuzzUpdate checks that no snapshot of another daemon ends the process, and that what it
 // leads to can be used.
 func FuzzUpdate(f *testing.F) {
-	f.Add([]byte(`{"revision":{"era":1,"number":3},"table":{"version":2,"routes":[null,{"name":"a","host":"h","prefix":"/"}]},"targets":[{"id":"t"}]}`))
-	f.Add([]byte(`{"revision":{"era":1,"number":3},"delta":{"base":1,"version":2,"changed":[null,{"name":"a"}],"removed":["r"]},"targetDelta":{"changed":[{}],"removed":["t"]}}`))
+	f.Add([]byte(`{"revision":{"epoch":1,"number":3},"table":{"version":2,"routes":[null,{"name":"a","host":"h","prefix":"/"}]},"targets":[{"id":"t"}]}`))
+	f.Add([]byte(`{"revision":{"epoch":1,"number":3},"delta":{"base":1,"version":2,"changed":[null,{"name":"a"}],"removed":["r"]},"targetDelta":{"changed":[{}],"removed":["t"]}}`))
 	f.Add([]byte(`{"targetDelta":null,"delta":null}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var zipped bytes.Buffer
--- a/internal/ffgossip/source.go
+++ b/internal/ffgossip/source.go
@@ -17,7 +17,7 @@
 	Read(ctx context.Context, progress func()) (*StoreContent, error)
 	// Changes returns the changes after a revision and waits up to wait for the first
 	// one. lost reports that the store does not have the history after that revision, so
-	// that a complete read is needed: it was dropped, or belongs to an earlier era.
+	// that a complete read is needed: it was dropped, or belongs to an earlier epoch.
 	Changes(ctx context.Context, after Revision, wait time.Duration, progress func()) (changes *Changes, lost bool, err error)
 }
 
--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -30,7 +30,7 @@
 	heldUntil time.Time
 	leaving   fffleet.Leaving
 	replaced  fffleet.Leaving
-	// departed holds the targets that were removed in the current era of the store, and
+	// departed holds the targets that were removed in the current epoch of the store, and
 	// departedBefore those removed in earlier ones.
 	departed       fffleet.Departed
 	departedBefore fffleet.Departed
@@ -85,10 +85,10 @@
 	if r.ConfirmedAt.Before(old.ConfirmedAt) {
 		next.ConfirmedAt = old.ConfirmedAt
 	}
-	newEra := r.Revision.Era != old.Revision.Era
-	s.recordDeparted(r.Fleet, newEra)
+	newEpoch := r.Revision.Epoch != old.Revision.Epoch
+	s.recordDeparted(r.Fleet, newEpoch)
 	fleet := r.Fleet.WithDeparted(s.departedBefore)
-	s.holdMissing(old, fleet, r.RetainUntil, newEra)
+	s.holdMissing(old, fleet, r.RetainUntil, newEpoch)
 	s.recordFleet(fleet)
 	next.Fleet = s.usable()
 	s.publish(r.From, old, next)
@@ -169,8 +169,8 @@
 	next := *old
 	next.Revision = revision
 	next.ConfirmedAt = confirmed
-	if revision.Era != old.Revision.Era {
-		s.startEra()
+	if revision.Epoch != old.Revision.Epoch {
+		s.startEpoch()
 	}
 	s.holdMissing(old, s.listed, time.Time{}, false)
 	next.Fleet = s.usable()
--- a/internal/ffgossip/usabletargets.go
+++ b/internal/ffgossip/usabletargets.go
@@ -20,8 +20,8 @@
 // are neither listed nor retained are forgotten.
 const maxLeaving = 256
 
-// departedFor is how long a removed target is remembered: a store does not come back from
-// a copy that is older.
+// departedFor is how long a removed target is remembered: no backup from which the store is
+// restored is older.
 const departedFor = time.Minute
 
 // usable returns the targets to use: the listed and the retained ones, without calls to
@@ -32,10 +32,10 @@
 }
 
 // recordDeparted records the targets that are not in fleet any more. A target that is not
-// listed in a new era may only be missing in the copy. The caller holds the lock.
-func (s *State) recordDeparted(fleet fffleet.Fleet, newEra bool) {
-	if newEra {
-		s.startEra()
+// listed in a new epoch may only be missing in the backup. The caller holds the lock.
+func (s *State) recordDeparted(fleet fffleet.Fleet, newEpoch bool) {
+	if newEpoch {
+		s.startEpoch()
 		return
 	}
 	if gone := s.listed.Difference(fleet); len(gone) > 0 {
@@ -44,8 +44,8 @@
 	}
 }
 
-// startEra notes that the store came back from a copy. The caller holds the lock.
-func (s *State) startEra() {
+// startEpoch records that the store was restored from a backup. The caller holds the lock.
+func (s *State) startEpoch() {
 	now := time.Now()
 	s.departedBefore = s.departedBefore.Union(s.departed).With(nil, now, now)
 	s.departed = fffleet.Departed{}
@@ -82,15 +82,15 @@
 }
 
 // holdMissing retains the targets that disappeared during an outage of the store until a
-// time, or until they are listed again. In a new era of the store all that are missing are
+// time, or until they are listed again. In a new epoch of the store all that are missing are
 // retained, since the store may have lost their entries. The caller holds the lock.
-func (s *State) holdMissing(old *Snapshot, fleet fffleet.Fleet, until time.Time, newEra bool) {
+func (s *State) holdMissing(old *Snapshot, fleet fffleet.Fleet, until time.Time, newEpoch bool) {
 	now := time.Now()
 	outage := until.After(now) && now.Sub(old.ConfirmedAt) > outageAge
-	if newEra {
+	if newEpoch {
 		until = now.Add(expiryGrace)
 	}
-	if !old.ConfirmedAt.IsZero() && (outage || newEra) {
+	if !old.ConfirmedAt.IsZero() && (outage || newEpoch) {
 		s.heldUntil = until
 		s.held = s.listed.Difference(fleet)
 	}
--- a/internal/ffinbound/runs.go
+++ b/internal/ffinbound/runs.go
@@ -23,31 +23,31 @@
 	}
 }
 
-// repeatShare estimates the probability that a request with the given deadline was made by
-// a run that counts as a repeat. Only a run whose own deadline is not earlier can have made
-// it. Of the kinds of calls at the target, the one with most repeats counts, since not all
+// retryShare estimates the probability that a request with the given deadline was made by
+// a run that counts as a retry. Only a run whose own deadline is not earlier can have made
+// it. Of the kinds of calls at the target, the one with most retries counts, since not all
 // kinds make requests.
-func (r *runs) repeatShare(deadline time.Time) float64 {
-	type tally struct{ runs, repeats float64 }
+func (r *runs) retryShare(deadline time.Time) float64 {
+	type tally struct{ runs, retries float64 }
 	byKind := make(map[ffroute.Kind]tally)
 	for _, c := range r.calls {
 		if c.Deadline.Add(readDelay).Before(deadline) {
 			continue
 		}
 		t := byKind[c.Kind]
-		byKind[c.Kind] = tally{t.runs + 1, t.repeats + c.RepeatShare}
+		byKind[c.Kind] = tally{t.runs + 1, t.retries + c.RetryShare}
 	}
 	share := 0.0
 	for _, t := range byKind {
-		share = max(share, t.repeats/t.runs)
+		share = max(share, t.retries/t.runs)
 	}
 	return share
 }
 
-// RepeatShare estimates the probability that a request with the given deadline was made by
-// a run at the target that counts as a repeat.
-func (g *Gate) RepeatShare(deadline time.Time) float64 {
+// RetryShare estimates the probability that a request with the given deadline was made by
+// a run at the target that counts as a retry.
+func (g *Gate) RetryShare(deadline time.Time) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.runs.repeatShare(deadline)
+	return g.runs.retryShare(deadline)
 }
--- a/internal/ffinbound/runs_test.go
+++ b/internal/ffinbound/runs_test.go
@@ -8,35 +8,35 @@
 	"fireflyfall.dev/fireflyfall/internal/ffroute"
 )
 
-// TestRepeatShare guards against calls of repeated runs that are taken for new requests, and
+// TestRetryShare guards against calls of retried runs that are taken for new requests, and
 // against requests of clients that are taken for such calls.
-func TestRepeatShare(t *testing.T) {
+func TestRetryShare(t *testing.T) {
 	now := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 	run := func(kind ffroute.Kind, deadlineMs int, share float64) *ffmesh.Call {
-		return &ffmesh.Call{Kind: kind, Deadline: at(deadlineMs), RepeatShare: share}
+		return &ffmesh.Call{Kind: kind, Deadline: at(deadlineMs), RetryShare: share}
 	}
-	first, repeat := run(ffroute.KindSafe, 800, 0), run(ffroute.KindSafe, 500, 1)
-	unsafe, ofRepeat := run(ffroute.KindUnsafe, 900, 0), run(ffroute.KindSafe, 700, 0.5)
+	first, retry := run(ffroute.KindSafe, 800, 0), run(ffroute.KindSafe, 500, 1)
+	unsafe, ofRetry := run(ffroute.KindUnsafe, 900, 0), run(ffroute.KindSafe, 700, 0.5)
 	for name, tc := range map[string]struct {
 		calls      []*ffmesh.Call
 		deadlineMs int
 		want       float64
 	}{
-		"no run":                             {nil, 200, 0},
-		"only first runs":                    {[]*ffmesh.Call{first, unsafe}, 200, 0},
-		"only a repeat":                      {[]*ffmesh.Call{repeat}, 200, 1},
-		"a repeat of two":                    {[]*ffmesh.Call{first, repeat}, 200, 0.5},
-		"a repeat beside another kind":       {[]*ffmesh.Call{repeat, unsafe, unsafe}, 200, 1},
-		"later than the repeat's deadline":   {[]*ffmesh.Call{first, repeat}, 600, 0},
-		"read just after the repeat's":       {[]*ffmesh.Call{repeat}, 530, 1},
-		"run of a call that may be a repeat": {[]*ffmesh.Call{ofRepeat}, 200, 0.5},
+		"no run":                            {nil, 200, 0},
+		"only first runs":                   {[]*ffmesh.Call{first, unsafe}, 200, 0},
+		"only a retry":                      {[]*ffmesh.Call{retry}, 200, 1},
+		"a retry of two":                    {[]*ffmesh.Call{first, retry}, 200, 0.5},
+		"a retry beside another kind":       {[]*ffmesh.Call{retry, unsafe, unsafe}, 200, 1},
+		"later than the retry's deadline":   {[]*ffmesh.Call{first, retry}, 600, 0},
+		"read just after the retry's":       {[]*ffmesh.Call{retry}, 530, 1},
+		"run of a call that may be a retry": {[]*ffmesh.Call{ofRetry}, 200, 0.5},
 	} {
 		var r runs
 		for _, c := range tc.calls {
 			r.add(c)
 		}
-		if got := r.repeatShare(at(tc.deadlineMs)); got != tc.want {
+		if got := r.retryShare(at(tc.deadlineMs)); got != tc.want {
 			t.Errorf("%s: %v, want %v", name, got, tc.want)
 		}
 		for _, c := range tc.calls {
--- a/internal/ffmesh/call.go
+++ b/internal/ffmesh/call.go
@@ -40,10 +40,10 @@
 	// TargetLimit is the number of calls per second that Target takes according to the
 	// last answer that the entry passed on; 0 if it named none.
 	TargetLimit float64
-	// RepeatShare is the probability, 0 to 1, that a run of the call counts as a repeat: 1
+	// RetryShare is the probability, 0 to 1, that a run of the call counts as a retry: 1
 	// if the request may have arrived at another target, and otherwise that of the run
 	// that made it.
-	RepeatShare float64
+	RetryShare float64
 	// OnSilence is called when the gate's VM does not acknowledge the call in time. If
 	// it is set, the body is sent together with the headers; if nil, only after the
 	// gate has asked for it (100 Continue).
--- a/internal/ffmeshpeer/fuzz_test.go
+++ b/internal/ffmeshpeer/fuzz_test.go
@@ -45,15 +45,15 @@
 	}
 	f.Add("AAAA", "NaN", "-1", "abc")
 	f.Add("", "", "", "")
-	f.Fuzz(func(t *testing.T, head, limit, repeat, body string) {
+	f.Fuzz(func(t *testing.T, head, limit, share, body string) {
 		const memory = ffmesh.MaxBufferedBody
 		g, m := &recordingGate{}, ffmesh.NewMemory(memory)
 		h := &Handler{Gate: g, Memory: m}
 		r := httptest.NewRequest(http.MethodPost, "http://h/x", strings.NewReader(body))
-		r.Header = http.Header{callHeader: {head}, limitHeader: {limit}, repeatHeader: {repeat}}
+		r.Header = http.Header{callHeader: {head}, limitHeader: {limit}, retryShareHeader: {share}}
 		serveCall(t, h, r)
-		if c := g.last; c != nil && (c.RepeatShare < 0 || c.RepeatShare > 1 || math.IsNaN(c.TargetLimit)) {
-			t.Errorf("repeat share %v, limit %v", c.RepeatShare, c.TargetLimit)
+		if c := g.last; c != nil && (c.RetryShare < 0 || c.RetryShare > 1 || math.IsNaN(c.TargetLimit)) {
+			t.Errorf("retry share %v, limit %v", c.RetryShare, c.TargetLimit)
 		}
 		if _, ok := m.Reserve(memory); !ok {
 			t.Error("memory is lost")
--- a/internal/ffmeshpeer/head.go
+++ b/internal/ffmeshpeer/head.go
@@ -16,8 +16,8 @@
 	replyHeader = "Fireflyfall-Reply"
 	// limitHeader holds the call's TargetLimit, unless that is 0.
 	limitHeader = "Fireflyfall-Limit"
-	// repeatHeader holds the call's RepeatShare, unless that is 0.
-	repeatHeader = "Fireflyfall-Repeat"
+	// retryShareHeader holds the call's RetryShare, unless that is 0.
+	retryShareHeader = "Fireflyfall-Retry-Share"
 )
 
 // encode returns head as a header value: CBOR in base64.
--- a/internal/ffmeshpeer/optional.go
+++ b/internal/ffmeshpeer/optional.go
@@ -12,7 +12,7 @@
 // those that a client may have sent.
 func setOptional(h http.Header, c *ffmesh.Call) {
 	setNumber(h, limitHeader, c.TargetLimit)
-	setNumber(h, repeatHeader, c.RepeatShare)
+	setNumber(h, retryShareHeader, c.RetryShare)
 }
 
 // setNumber sets a header to a positive number, and removes it otherwise.
@@ -27,9 +27,9 @@
 // fields.
 func (h *Handler) takeOptional(r *http.Request, c *ffmesh.Call) {
 	c.TargetLimit = h.number(r, limitHeader)
-	c.RepeatShare = min(max(h.number(r, repeatHeader), 0), 1)
+	c.RetryShare = min(max(h.number(r, retryShareHeader), 0), 1)
 	c.Header.Del(limitHeader)
-	c.Header.Del(repeatHeader)
+	c.Header.Del(retryShareHeader)
 }
 
 // number returns the finite number in a header of r, or 0.
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -92,7 +92,7 @@
 		Metrics: metrics,
 		Log:     log,
 
-		RepeatShare: gate.RepeatShare,
+		RetryShare: gate.RetryShare,
 	}
 }
 
--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -28,12 +28,12 @@
 	b.budget.Set(c, entries, now)
 }
 
-// recordRequest counts a call, with the share of repeats among the runs that may have made
+// recordRequest counts a call, with the share of retries among the runs that may have made
 // it.
 func (b *RetryBudget) recordRequest(c *ffmesh.Call, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget.RecordRequest(c.Service, c.Priority, c.RepeatShare, now)
+	b.budget.RecordRequest(c.Service, c.Priority, c.RetryShare, now)
 }
 
 // tryRetry takes one retry of a call out of the budget and reports whether there was one
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -59,9 +59,9 @@
 	Dialect ffmesh.Dialect
 	Picker  *Picker
 	Budget  *RetryBudget
-	// RepeatShare estimates the probability that a request with the given deadline was
-	// made by a run of this VM's target that counts as a repeat; nil if none can be.
-	RepeatShare func(deadline time.Time) float64
+	// RetryShare estimates the probability that a request with the given deadline was
+	// made by a run of this VM's target that counts as a retry; nil if none can be.
+	RetryShare func(deadline time.Time) float64
 	// Memory limits the bodies held in memory.
 	Memory  *ffmesh.Memory
 	Log     zerolog.Logger
@@ -183,8 +183,8 @@
 		Deadline:  received.Add(timeout),
 		Objective: received.Add(route.Objective - h.timeouts.elapsed(route.Name, timeout)),
 	}
-	if h.RepeatShare != nil {
-		c.RepeatShare = h.RepeatShare(c.Deadline)
+	if h.RetryShare != nil {
+		c.RetryShare = h.RetryShare(c.Deadline)
 	}
 	if limit := received.Add(route.Timeout); route.Timeout > 0 && limit.Before(c.Deadline) {
 		c.Deadline = limit
--- a/internal/ffoutbound/hedge.go
+++ b/internal/ffoutbound/hedge.go
@@ -10,11 +10,11 @@
 )
 
 // offer sends a call to the gate of one target and records the load or the failure.
-// repeatShare is the probability that its run counts as a repeat.
-func (h *Handler) offer(ctx context.Context, t fffleet.Target, c *ffmesh.Call, repeatShare float64) *ffmesh.Reply {
+// retryShare is the probability that its run counts as a retry.
+func (h *Handler) offer(ctx context.Context, t fffleet.Target, c *ffmesh.Call, retryShare float64) *ffmesh.Reply {
 	targeted := *c
 	targeted.Target = t.ID
-	targeted.RepeatShare = repeatShare
+	targeted.RetryShare = retryShare
 	board := h.Picker.Loads
 	targeted.TargetLimit = board.limit(t)
 	board.startCall(t.VM(), c)
@@ -60,12 +60,12 @@
 	answers := newAnswers()
 	defer answers.end()
 	silent := make(chan struct{}, 2)
-	offer := func(t fffleet.Target, repeatShare float64) {
+	offer := func(t fffleet.Target, retryShare float64) {
 		c := *r.call
 		c.OnSilence = r.onSilence(t, silent)
-		answers.add(r.handler.offer(ctx, t, &c, repeatShare))
+		answers.add(r.handler.offer(ctx, t, &c, retryShare))
 	}
-	go offer(t, r.repeatShare())
+	go offer(t, r.retryShare())
 	timer := time.NewTimer(time.Until(r.hedgeAt(t)))
 	defer timer.Stop()
 	var best *ffmesh.Reply
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -59,17 +59,17 @@
 	if r.route.Kind.Idempotent() && r.call.Stream == nil {
 		r.reply = r.sendHedged(ctx, t)
 	} else {
-		r.reply = h.offer(ctx, t, r.call, r.repeatShare())
+		r.reply = h.offer(ctx, t, r.call, r.retryShare())
 	}
 	r.recordReply()
 }
 
-// repeatShare returns the probability that a run of the next offer counts as a repeat.
-func (r *run) repeatShare() float64 {
+// retryShare returns the probability that a run of the next offer counts as a retry.
+func (r *run) retryShare() float64 {
 	if r.arrivals > 0 {
 		return 1
 	}
-	return r.call.RepeatShare
+	return r.call.RetryShare
 }
 
 // recordReply records whether the request reached a target, ran or may have run.
