--- a/internal/fffleet/departed.go
+++ b/internal/fffleet/departed.go
@@ -9,14 +9,12 @@
 // immutable, and the zero value is empty.
 type Departed struct{ entries map[string]departure }
 
+// departure is the last known entry of a removed target.
 type departure struct {
 	last     Target
 	forgetAt time.Time
 }
 
-// Len returns the number of targets.
-func (d Departed) Len() int { return len(d.entries) }
-
 // With returns d with the targets last, which are forgotten at forgetAt, and without those
 // that are to be forgotten by now.
 func (d Departed) With(last []Target, forgetAt, now time.Time) Departed {
