--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -19,6 +19,7 @@
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"chunked": chunked,
+	"leave":   leave,
 	"soak":    soak,
 }
 
--- a/review/_rig/soak.go
+++ b/review/_rig/soak.go
@@ -62,6 +62,16 @@
 			ms, _ := strconv.Atoi(r.Header.Get("X-Work-Ms"))
 			return time.Duration(ms) * time.Millisecond
 		}
+		if os.Getenv("MIS") != "" {
+			modes := strings.Split(os.Getenv("MIS"), ",")
+			m.worker.mis = func(r *http.Request) string {
+				h := sha256.Sum256([]byte(m.worker.id + r.Header.Get("X-Attempt-Id")))
+				if h[0] < 24 {
+					return modes[int(h[1])%len(modes)]
+				}
+				return ""
+			}
+		}
 		m.worker.answer = func(r *http.Request) []byte {
 			n, _ := strconv.Atoi(r.Header.Get("X-Answer-Bytes"))
 			return bodyFor("a"+r.Header.Get("X-Attempt-Id"), n)
@@ -95,7 +105,7 @@
 					size = []int{20000, 200000, 1_100_000, 1_600_000}[r.IntN(4)]
 				}
 				ans := 1500
-				if kind != "upload" {
+				if r.IntN(8) == 0 {
 					ans = 300_000 + r.IntN(300_000)
 				}
 				work := 10 + r.IntN(90)
@@ -105,7 +115,7 @@
 				a.digest = hex.EncodeToString(s[:8])
 				dl := time.Second
 				give := dl
-				if r.IntN(2) == 0 && trouble {
+				if r.IntN(10) == 0 && trouble {
 					give = time.Duration(work+r.IntN(12)) * time.Millisecond
 				}
 				c2, cancel := context.WithTimeout(context.Background(), give)
