--- a/review/_rig/fleet.go
+++ b/review/_rig/fleet.go
@@ -268,3 +268,19 @@
 		fmt.Println("kept", f.dir)
 	}
 }
+
+// lastLines returns what the daemon of a machine wrote from the first line on that begins
+// with one of the words, 12 lines at most, without the paths of source files.
+func (f *fleet) lastLines(m *machine, words ...string) string {
+	b, err := os.ReadFile(filepath.Join(f.dir, m.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	lines := slices.DeleteFunc(strings.Split(string(b), "\n"), func(line string) bool { return strings.HasPrefix(line, "\t") })
+	for i, line := range lines {
+		if slices.ContainsFunc(words, func(w string) bool { return strings.HasPrefix(line, w) }) {
+			return strings.Join(lines[i:min(len(lines), i+12)], "\n")
+		}
+	}
+	return "none"
+}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -20,6 +20,8 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"chunked": chunked,
 	"leave":   leave,
+	"hold":    hold,
+	"slowend": slowEnd,
 	"soak":    soak,
 }
 
