Review, case 4: a long answer behind a slow one ends its connection with all requests on it

Tried: review/4/run.sh. Consumers send a tally, an image of 300,000 bytes and two tallies behind one another while one of four workers of the tallies is slow. Nothing is fixed.

--- a/review/_rig/fleet.go
+++ b/review/_rig/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,7 +19,9 @@
 )
 
 // program is the daemon as the deploy file builds and starts it.
-const program, role = "target/fireflyfall", "mesh"
+const role = "mesh"
+
+var program = cmp.Or(os.Getenv("PROGRAM"), "target/fireflyfall")
 
 // machine is a machine with a worker and a daemon, on a loopback address of its own.
 type machine struct {
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -18,11 +18,12 @@
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"chunked": chunked,
-	"leave":   leave,
-	"hold":    hold,
-	"slowend": slowEnd,
-	"soak":    soak,
+	"chunked":  chunked,
+	"leave":    leave,
+	"hold":     hold,
+	"slowend":  slowEnd,
+	"pipeline": pipeline,
+	"soak":     soak,
 }
 
 func main() {
