Review, case 5: daemons never follow the store's address in changed settings

Tried: review/5/run.sh. platform.address changes in the settings files, with a SIGHUP for each daemon; the store answers at both addresses for 10 s. Nothing is fixed.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -23,6 +23,8 @@
 	"hold":     hold,
 	"slowend":  slowEnd,
 	"pipeline": pipeline,
+	"moved":    moved,
+	"psoak":    psoak,
 	"soak":     soak,
 }
 
