--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -20,12 +20,9 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"chunked":  chunked,
 	"leave":    leave,
-	"hold":     hold,
 	"slowend":  slowEnd,
 	"pipeline": pipeline,
 	"moved":    moved,
-	"psoak":    psoak,
-	"soak":     soak,
 }
 
 func main() {
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -42,8 +42,6 @@
 	// work is how long a request takes, answer the body of its answer.
 	work   func(r *http.Request) time.Duration
 	answer func(r *http.Request) []byte
-	// mis returns how the worker misbehaves with a request; it may be nil.
-	mis func(r *http.Request) string
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -149,15 +147,6 @@
 			return
 		}
 		_ = c.SetReadDeadline(time.Time{})
-		if w.mis != nil && w.mis(req) == "early" && req.ContentLength != 0 {
-			if !write(c, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: "+req.Header.Get("X-Attempt-Id")+"\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", nil) {
-				return
-			}
-			if _, err := io.Copy(io.Discard, req.Body); err != nil {
-				return
-			}
-			continue
-		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return // The request is not whole: it isn't run.
@@ -193,35 +182,6 @@
 	if w.answer != nil {
 		answer = w.answer(req)
 	}
-	if w.mis != nil {
-		sig := "X-Response-Signature: " + w.id + "." + id + "\r\n"
-		full := "HTTP/1.1 200 OK\r\n" + head + sig + "Content-Length: " + strconv.Itoa(len(answer)) + "\r\n\r\n"
-		reset := func() bool { _ = c.(*net.TCPConn).SetLinger(0); return false }
-		switch w.mis(req) {
-		case "reset":
-			return reset()
-		case "cut":
-			write(c, full, answer[:len(answer)/2])
-			return false
-		case "extra":
-			return write(c, full, answer) && write(c, full, answer)
-		case "extralate":
-			ok := write(c, full, answer)
-			time.Sleep(5 * time.Millisecond)
-			return ok && write(c, full, answer)
-		case "unframed":
-			write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\n"+sig+"\r\n", answer)
-			return false
-		case "unframedreset":
-			write(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\n"+sig+"\r\n", answer[:len(answer)/2])
-			time.Sleep(3 * time.Millisecond)
-			return reset()
-		case "junk":
-			return write(c, "hello there\r\n\r\n", nil)
-		case "error":
-			return write(c, "HTTP/1.1 500 Internal Server Error\r\n"+head+sig+"Content-Length: 3\r\n\r\n", []byte("bad"))
-		}
-	}
 	return write(c, "HTTP/1.1 200 OK\r\n"+head+"X-Response-Signature: "+w.id+"."+id+"\r\nContent-Length: "+strconv.Itoa(len(answer))+"\r\n\r\n", answer)
 }
 
