--- a/review/_rig/fleet.go
+++ b/review/_rig/fleet.go
@@ -122,7 +122,7 @@
 		}
 		m.worker = &worker{id: fmt.Sprintf("i-%04d", i+1), service: service, zone: m.zone, address: at(portWorker), store: f.store, rec: rec}
 		m.settings = filepath.Join(dir, m.name+".conf")
-		if err := os.WriteFile(m.settings, []byte(f.settingsOf(i, m, at)+extra), 0o600); err != nil {
+		if err := os.WriteFile(m.settings, []byte(f.settingsOf(m, at)+extra), 0o600); err != nil {
 			return nil, err
 		}
 		f.machines = append(f.machines, m)
@@ -132,7 +132,7 @@
 
 // settingsOf returns the settings of a machine, with the figures of the sheet of the first
 // deployments.
-func (f *fleet) settingsOf(i int, m *machine, at func(int) string) string {
+func (f *fleet) settingsOf(m *machine, at func(int) string) string {
 	lines := []string{
 		"nodeName=" + m.name, "role=daemon", "machineClass=sidecar", "serves=sidecar", "ip=" + m.host,
 		"zone=" + m.zone, "region=region-1",
--- a/review/_rig/pipeline.go
+++ b/review/_rig/pipeline.go
@@ -75,8 +75,10 @@
 		consumers.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
 				group := []piped{
-					{path: "/tally/t", deadline: 800 * time.Millisecond}, {path: "/image/p", deadline: 200 * time.Millisecond},
-					{path: "/tally/t", deadline: 800 * time.Millisecond}, {path: "/tally/t", deadline: 800 * time.Millisecond},
+					{path: "/tally/t", deadline: 800 * time.Millisecond},
+					{path: "/image/p", deadline: 200 * time.Millisecond},
+					{path: "/tally/t", deadline: 800 * time.Millisecond},
+					{path: "/tally/t", deadline: 800 * time.Millisecond},
 				}
 				for k := range group {
 					group[k].id = fmt.Sprintf("%03x%04x%x", n, i, k)
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -176,6 +176,7 @@
 		instance: w.id, digest: hex.EncodeToString(sum[:8]), length: len(body), at: time.Now(),
 	})
 	w.mu.Unlock()
+	w.rec.note("worker %s runs %s %s %s for %s, %d bytes, digest %s", w.id, id, req.Method, req.RequestURI, req.Header.Get("X-Caller-Service"), len(body), hex.EncodeToString(sum[:8]))
 	<-time.After(w.work(req))
 	w.freeSlot()
 	answer := []byte("done " + id)
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/rig ./review/_rig
+go build -o target/review/rig.new ./review/_rig
+mv target/review/rig.new target/review/rig
