--- a/review/_rig/chunked.go
+++ b/review/_rig/chunked.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,10 +23,18 @@
 	sentAt     time.Time
 }
 
+// The deployment of chunked and slowEnd: as many workers of the photo desk that one is a
+// share of less than 0.15.
+const ledgers, desks = 4, 7
+
+func deskServices() []string {
+	return append(slices.Repeat([]string{"ledger"}, ledgers), slices.Repeat([]string{"photo-desk"}, desks)...)
+}
+
 // chunked lets consumers upload bodies in chunks, of up to 1.7 MB, while one worker of the
 // service after the other crashes and starts again.
 func chunked(rec *record, trouble bool) (bool, error) {
-	services := []string{"ledger", "ledger", "ledger", "ledger", "photo-desk", "photo-desk", "photo-desk"}
+	services := deskServices()
 	f, err := newFleet(rec, services, []string{"zone-1", "zone-2", "zone-3"}, "")
 	if err != nil {
 		return false, err
@@ -50,7 +59,7 @@
 	var consumers sync.WaitGroup
 	// Consumers stand beside the workers of the ledger, and upload to the photo desk.
 	for n := range 8 {
-		m := f.machines[n%4]
+		m := f.machines[n%ledgers]
 		consumers.Go(func() {
 			rng := rand.New(rand.NewPCG(1, uint64(n)))
 			for i := 0; ctx.Err() == nil; i++ {
@@ -65,7 +74,7 @@
 	const rounds = 6
 	for i := range rounds {
 		time.Sleep(3 * time.Second)
-		w := f.machines[4+i%3].worker
+		w := f.machines[ledgers+i%desks].worker
 		if trouble {
 			w.crash()
 		}
--- a/review/_rig/slowend.go
+++ b/review/_rig/slowend.go
@@ -22,7 +22,7 @@
 // little later, while one worker of the service after the other crashes at other machines.
 // Others at that machine send safe requests on kept connections to sound workers.
 func slowEnd(rec *record, trouble bool) (bool, error) {
-	services := []string{"ledger", "ledger", "ledger", "photo-desk", "photo-desk", "photo-desk"}
+	services := deskServices()
 	f, err := newFleet(rec, services, []string{"zone-1", "zone-2", "zone-3"}, "")
 	if err != nil {
 		return false, err
@@ -87,7 +87,7 @@
 		if watch(3 * time.Second) {
 			break
 		}
-		w := f.machines[3+i%3].worker
+		w := f.machines[ledgers+i%desks].worker
 		if trouble {
 			w.crash()
 		}
