Review: no folder is left behind if a case can't run

Tried: after runs that ended with 2 ("no free ports") ten temporary folders were still there, some of them of other runs that were ended early. The folder is made last now, once the ports are found.

--- a/review/_rig/fleet.go
+++ b/review/_rig/fleet.go
@@ -93,25 +93,25 @@
 
 // newFleet starts the store and the workers: services names the service of each machine.
 func newFleet(rec *record, services []string, zones []string, extra string) (*fleet, error) {
-	dir, err := os.MkdirTemp("", "review-")
+	var hosts []string
+	for i := range services {
+		hosts = append(hosts, fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250, i+2))
+	}
+	ports, err := freePorts(hosts, portCount)
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, rec: rec, store: &ffstandin.Store{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	f.address = l.Addr().String()
-	f.server = &http.Server{Handler: f.store}
-	go func() { _ = f.server.Serve(l) }()
-	var hosts []string
-	for i := range services {
-		hosts = append(hosts, fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250, i+2))
-	}
-	if f.ports, err = freePorts(hosts, portCount); err != nil {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
 		return nil, err
 	}
+	f := &fleet{dir: dir, rec: rec, store: &ffstandin.Store{}, ports: ports, address: l.Addr().String()}
+	f.server = &http.Server{Handler: f.store}
+	go func() { _ = f.server.Serve(l) }()
 	for i, service := range services {
 		at := func(port int) string { return fmt.Sprintf("%s:%d", hosts[i], f.ports[port]) }
 		m := &machine{
