--- a/review/_rig/leave.go
+++ b/review/_rig/leave.go
@@ -30,10 +30,10 @@
 // Figures of the disruption give_up.
 const (
 	giveUpShare  = 0.3
-	giveUpFor    = 5500 * time.Millisecond
+	giveUpFor    = 5 * time.Second
 	giveUpWithin = 30 * time.Millisecond
 	giveUpGap    = 500 * time.Millisecond
-	giveUps      = 14
+	giveUps      = 15
 	// leaveConsumers is the number of consumers of images.
 	leaveConsumers = 8
 )
@@ -128,7 +128,7 @@
 	rec.say("in the spells: first routes %v, added route %v", &during[0], &during[1])
 	rec.say("steady state after them: first routes %v, added route %v", &after[0], &after[1])
 	for _, m := range f.machines {
-		rec.say("%s says that it is ready: %t; calls at its worker by its own metrics: %s", m.name, m.isReady(), metric(fmt.Sprintf("%s:%d", m.host, f.ports[portLast]), "fireflyfall_gate_running"))
+		rec.say("%s says that it is ready: %t; requests at its worker: %d; by its own metrics: %s", m.name, m.isReady(), m.worker.busy(), metric(fmt.Sprintf("%s:%d", m.host, f.ports[portLast]), "fireflyfall_gate_running"))
 	}
 	broken := after[1].sent.Load() >= 20 && after[1].share() < after[0].share()/4
 	if broken {
--- a/review/_rig/slowend.go
+++ b/review/_rig/slowend.go
@@ -46,7 +46,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var consumers sync.WaitGroup
-	for n := range 10 {
+	for n := range 16 {
 		consumers.Go(func() {
 			client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}
 			for i := 0; ctx.Err() == nil; i++ {
@@ -57,7 +57,7 @@
 					mu.Unlock()
 					time.Sleep(100 * time.Millisecond)
 				}
-				time.Sleep(20 * time.Millisecond)
+				time.Sleep(time.Duration(5+rand.IntN(30)) * time.Millisecond)
 			}
 		})
 	}
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -220,3 +220,10 @@
 	defer w.mu.Unlock()
 	return append([]run(nil), w.runs...)
 }
+
+// busy returns the number of requests that the worker has, running or waiting.
+func (w *worker) busy() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running + w.waiting
+}
