--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffbody"
 )
 
 // Sizes in bytes: the longest body that is written at once, and the buffer for
@@ -37,7 +39,7 @@
 	Body   []byte
 	// Stream replaces Body when it is set; Length is its length in bytes, or -1 if
 	// unknown.
-	Stream io.Reader
+	Stream *ffbody.Stream
 	Length int64
 	// ContinueTimeout bounds the wait for "100 Continue". When it is set, the body is sent
 	// only after that response, so that a peer that has not asked for the body
@@ -75,6 +77,10 @@
 	if r.ContinueTimeout > 0 {
 		return e.startExpectContinue(r)
 	}
+	body, err := r.openStream()
+	if err != nil {
+		return nil, e.fail("open the body", err)
+	}
 	head := r.encodeHead()
 	inline := r.Stream == nil && len(r.Body) <= maxInlineBody
 	if inline {
@@ -86,7 +92,7 @@
 		return nil, e.fail("send", err)
 	}
 	if !inline {
-		e.startBody(r)
+		e.startBody(r, body)
 	}
 	if r.FirstByteTimeout > 0 && r.OnFirstByteTimeout != nil {
 		e.firstByteDeadline, e.onSilent = time.Now().Add(r.FirstByteTimeout), r.OnFirstByteTimeout
@@ -124,10 +130,22 @@
 		}
 		return e, nil
 	}
-	e.startBody(r)
+	body, err := r.openStream()
+	if err != nil {
+		return nil, e.failUnacked(err)
+	}
+	e.startBody(r, body)
 	return e, nil
 }
 
+// openStream returns the reader of a streamed body, or nil if the body is in memory.
+func (r *Request) openStream() (io.Reader, error) {
+	if r.Stream == nil {
+		return nil, nil
+	}
+	return r.Stream.Open()
+}
+
 // awaitContinue waits for "100 Continue" or a final response. Each "102 Processing"
 // restarts the timeout.
 func (e *Exchange) awaitContinue(r *Request) (*http.Response, error) {
@@ -152,20 +170,20 @@
 	return failure
 }
 
-func (e *Exchange) startBody(r *Request) {
+func (e *Exchange) startBody(r *Request, stream io.Reader) {
 	e.bodyResult = make(chan error, 1)
-	go e.writeBody(r)
+	go e.writeBody(r, stream)
 }
 
-// writeBody sends the body of a request.
-func (e *Exchange) writeBody(r *Request) {
-	if r.Stream == nil {
+// writeBody sends the body of a request, which is that of stream unless stream is nil.
+func (e *Exchange) writeBody(r *Request, stream io.Reader) {
+	if stream == nil {
 		_, err := e.conn.net.Write(r.Body)
 		e.bodyResult <- err
 		return
 	}
 	if r.Length >= 0 {
-		n, err := io.CopyBuffer(onlyWriter{e.conn.net}, io.LimitReader(r.Stream, r.Length), make([]byte, streamBufferSize))
+		n, err := io.CopyBuffer(onlyWriter{e.conn.net}, io.LimitReader(stream, r.Length), make([]byte, streamBufferSize))
 		if err == nil && n < r.Length {
 			err = io.ErrUnexpectedEOF
 		}
@@ -175,7 +193,7 @@
 		e.bodyResult <- err
 		return
 	}
-	err := writeChunked(e.conn.net, r.Stream)
+	err := writeChunked(e.conn.net, stream)
 	if err != nil {
 		e.conn.Close()
 	}
--- a/internal/ffmesh/body.go
+++ b/internal/ffmesh/body.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
+
+	"fireflyfall.dev/fireflyfall/internal/ffbody"
 )
 
 // MaxBufferedBody is the longest request body that is buffered, in bytes, so that a call
@@ -12,9 +14,9 @@
 
 // ReadBody reads the body of r into memory. A body longer than MaxBufferedBody, or one of
 // unknown length that reaches it, is returned as a stream of the whole body.
-func ReadBody(r *http.Request) (body []byte, stream io.Reader, err error) {
+func ReadBody(r *http.Request) (body []byte, stream *ffbody.Stream, err error) {
 	if r.ContentLength > MaxBufferedBody {
-		return nil, r.Body, nil
+		return nil, ffbody.NewStream(r.Body), nil
 	}
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		return nil, nil, nil
@@ -33,7 +35,7 @@
 	if err != nil || len(body) < MaxBufferedBody {
 		return body, nil, err
 	}
-	return nil, io.MultiReader(bytes.NewReader(body), r.Body), nil
+	return nil, ffbody.NewStream(io.MultiReader(bytes.NewReader(body), r.Body)), nil
 }
 
 // CopyHeader copies src to dst, the header of a response, and keeps the HTTP server
--- a/internal/ffmesh/call.go
+++ b/internal/ffmesh/call.go
@@ -1,10 +1,10 @@
 package ffmesh
 
 import (
-	"io"
 	"net/http"
 	"time"
 
+	"fireflyfall.dev/fireflyfall/internal/ffbody"
 	"fireflyfall.dev/fireflyfall/internal/ffroute"
 )
 
@@ -19,8 +19,8 @@
 	Header http.Header
 	// Body is the complete body, unless Stream is set.
 	Body []byte
-	// Stream is a body too long to be buffered; it can be sent only once.
-	Stream io.Reader
+	// Stream is a body too long to be buffered.
+	Stream *ffbody.Stream
 	// Length is the length of the body in bytes; -1 when unknown.
 	Length int64
 	// Origin is the service that runs on the VM whose entry received the request.
--- a/internal/ffoutbound/retry.go
+++ b/internal/ffoutbound/retry.go
@@ -40,7 +40,7 @@
 // there is a target for it.
 func (r *run) nextOffer() (Choice, nextStep) {
 	switch {
-	case r.call.Stream != nil && r.reply.Reason != ffmesh.ReasonConnect:
+	case r.call.Stream != nil && r.call.Stream.Opened():
 		return Choice{}, stepBodySpent
 	case r.mayHaveRun && !r.route.Kind.Idempotent():
 		return Choice{}, stepMayHaveRun
