--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -50,7 +50,8 @@
 	quietUntil time.Time
 }
 
-// Do implements ffmesh.Gate.
+// Do implements ffmesh.Gate. The slot of a call with a streamed answer is released at the
+// end of the stream or of ctx.
 func (g *Gate) Do(ctx context.Context, c *ffmesh.Call) *ffmesh.Reply {
 	target, refusal := g.checkTarget(c)
 	if refusal != nil {
@@ -66,11 +67,15 @@
 	started := g.startCall(c)
 	// The slot is released whatever happens.
 	reply := ffmesh.Contain(g.Log, c, func() *ffmesh.Reply { return g.send(ctx, c, target) })
-	if reply.Stream != nil {
-		reply.Stream = &slotReader{ReadCloser: reply.Stream, release: func() { g.finishCall(c, reply, started) }}
+	if reply.Stream == nil {
+		g.finishCall(c, reply, started)
 		return g.attachLoad(reply)
 	}
-	g.finishCall(c, reply, started)
+	body := reply.Stream
+	reply.Stream = ffhop.NewTrackedBody(ctx, body, func(error) {
+		_ = body.Close()
+		g.finishCall(c, reply, started)
+	})
 	return g.attachLoad(reply)
 }
 
--- a/internal/ffinbound/gate_test.go
+++ b/internal/ffinbound/gate_test.go
@@ -38,7 +38,7 @@
 	var mu sync.Mutex
 	running := 0
 	order, maxRunning = new([]string), new(int)
-	s := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	address := serveTarget(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		*order = append(*order, r.Header.Get("Priority"))
 		running++
@@ -48,19 +48,25 @@
 		mu.Lock()
 		running--
 		mu.Unlock()
-	})}
+	}))
+	return &ffinbound.Gate{
+		Target:  staticTarget{fffleet.Target{ID: "t", Service: "s", Address: address, Slots: slots}},
+		Dialect: dialect{},
+		Pool:    &ffhop.Pool{Address: address.String(), Dialer: ffhop.NewDialer(time.Second), MaxIdle: 8},
+	}, order, maxRunning
+}
+
+// serveTarget serves h as a target does, and returns its address.
+func serveTarget(t *testing.T, h http.Handler) netip.AddrPort {
+	t.Helper()
+	s := &http.Server{Handler: h}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
-	address := netip.MustParseAddrPort(l.Addr().String())
-	return &ffinbound.Gate{
-		Target:  staticTarget{fffleet.Target{ID: "t", Service: "s", Address: address, Slots: slots}},
-		Dialect: dialect{},
-		Pool:    &ffhop.Pool{Address: address.String(), Dialer: ffhop.NewDialer(time.Second), MaxIdle: 8},
-	}, order, maxRunning
+	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 func newCall(id string, priority int, objective, deadline time.Duration) *ffmesh.Call {
--- a/internal/ffinbound/send.go
+++ b/internal/ffinbound/send.go
@@ -169,7 +169,7 @@
 	}
 	reply.Body = body
 	if len(body) == maxBufferedBody {
-		reply.Stream = ffhop.NewTrackedBody(resp.Body, func(err error) {
+		reply.Stream = ffhop.NewTrackedBody(ctx, resp.Body, func(err error) {
 			if err != io.EOF {
 				e.Abort()
 				return
--- a/internal/ffmesh/reply.go
+++ b/internal/ffmesh/reply.go
@@ -60,6 +60,13 @@
 	Load    Load
 }
 
+// Close releases what a reply holds that is not used, or not any more. r may be nil.
+func (r *Reply) Close() {
+	if r != nil && r.Stream != nil {
+		_ = r.Stream.Close()
+	}
+}
+
 // ReplacedTarget reports whether another target than the one meant has answered.
 func (r *Reply) ReplacedTarget() bool { return r.Arrived && r.Reason == ReasonMisdirected }
 
--- a/internal/ffoutbound/answer.go
+++ b/internal/ffoutbound/answer.go
@@ -75,7 +75,6 @@
 		_, _ = w.Write(r.Body)
 		return
 	}
-	defer func() { _ = r.Stream.Close() }()
 	w.WriteHeader(r.Status)
 	if _, err := w.Write(r.Body); err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/ffoutbound/answers.go
+++ b/internal/ffoutbound/answers.go
@@ -21,7 +21,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
-		closeReply(r)
+		r.Close()
 		return
 	}
 	a.replies <- r
@@ -33,13 +33,6 @@
 	defer a.mu.Unlock()
 	a.ended = true
 	for len(a.replies) > 0 {
-		closeReply(<-a.replies)
-	}
-}
-
-// closeReply releases what a reply holds that is not used.
-func closeReply(r *ffmesh.Reply) {
-	if r.Stream != nil {
-		_ = r.Stream.Close()
+		(<-a.replies).Close()
 	}
 }
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -151,6 +151,7 @@
 	defer context.AfterFunc(h.ending.context(), cancel)()
 	run := &run{handler: h, call: c, route: route, table: table, tried: make(map[string]bool)}
 	run.clientRetry = c.Objective.Before(received.Add(route.Objective - clientRetryThreshold))
+	defer func() { run.response.Close() }()
 	run.do(ctx)
 	if r.Context().Err() != nil {
 		h.Metrics.Done(route.Kind, "clientLeft", time.Since(received))
--- a/internal/ffoutbound/hedge.go
+++ b/internal/ffoutbound/hedge.go
@@ -125,10 +125,10 @@
 	case a == nil:
 		return b
 	case b.Outcome == ffmesh.OutcomeRan && (a.Outcome != ffmesh.OutcomeRan || a.Status >= 500):
-		closeReply(a)
+		a.Close()
 		return b
 	}
-	closeReply(b)
+	b.Close()
 	return a
 }
 
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -72,19 +72,22 @@
 	return r.call.RetryShare
 }
 
-// recordReply records whether the request reached a target, ran or may have run.
+// recordReply records whether the request reached a target, ran or may have run, and closes
+// the reply that is not to be the response.
 func (r *run) recordReply() {
 	if r.reply.Arrived {
 		r.arrivals++
 	}
 	switch {
-	case r.reply.Outcome == ffmesh.OutcomeUnknown:
-		r.mayHaveRun = true
-	case r.reply.Outcome == ffmesh.OutcomeRan && r.reply.Status >= 500:
-		r.mayHaveRun = true
-		r.response = r.reply
 	case r.reply.Outcome == ffmesh.OutcomeRan:
+		r.mayHaveRun = r.mayHaveRun || r.reply.Status >= 500
+		r.response.Close()
 		r.response = r.reply
+	case r.reply.Outcome == ffmesh.OutcomeUnknown:
+		r.mayHaveRun = true
+		r.reply.Close()
+	default:
+		r.reply.Close()
 	}
 	if r.reply.RetryIn > 0 && (r.retryIn == 0 || r.reply.RetryIn < r.retryIn) {
 		r.retryIn = r.reply.RetryIn
