--- a/internal/ffinbound/send.go
+++ b/internal/ffinbound/send.go
@@ -169,6 +169,7 @@
 	}
 	reply.Body = body
 	if len(body) == maxBufferedBody {
+		reply.Length = max(resp.ContentLength, 0)
 		reply.Stream = ffhop.NewTrackedBody(ctx, resp.Body, func(err error) {
 			if err != io.EOF {
 				e.Abort()
--- a/internal/ffmesh/reply.go
+++ b/internal/ffmesh/reply.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -53,6 +54,8 @@
 	// Stream is the rest of a long body. It ends with io.EOF only when the body is
 	// complete.
 	Stream io.ReadCloser
+	// Length is the length of a long body in bytes; 0 when it has no known one.
+	Length int64
 	// Arrived reports whether the call may have reached a target, run or not.
 	Arrived bool
 	// RetryIn is the time after which to retry at this gate after a refusal.
@@ -67,6 +70,25 @@
 	}
 }
 
+// SetContentLength sets the Content-Length of a response with the body of r, if it is known.
+func (r *Reply) SetContentLength(h http.Header) {
+	switch {
+	case r.Stream == nil:
+		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	case r.Length > 0:
+		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+}
+
+// CopyBody writes the whole body of r to w. The rest of a long body is read only once.
+func (r *Reply) CopyBody(w io.Writer) error {
+	if _, err := w.Write(r.Body); err != nil || r.Stream == nil {
+		return err
+	}
+	_, err := io.Copy(w, r.Stream)
+	return err
+}
+
 // ReplacedTarget reports whether another target than the one meant has answered.
 func (r *Reply) ReplacedTarget() bool { return r.Arrived && r.Reason == ReasonMisdirected }
 
--- a/internal/ffmeshpeer/client.go
+++ b/internal/ffmeshpeer/client.go
@@ -163,6 +163,7 @@
 		end()
 		return reply
 	}
+	reply.Length = max(resp.ContentLength, 0)
 	reply.Stream = ffhop.NewTrackedBody(ctx, resp.Body, func(err error) {
 		if err != io.EOF {
 			e.Abort()
--- a/internal/ffmeshpeer/server.go
+++ b/internal/ffmeshpeer/server.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -97,18 +95,10 @@
 	}
 	ffmesh.CopyHeader(w.Header(), r.Header)
 	w.Header().Set(replyHeader, head)
-	if r.Stream == nil {
-		w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
-		w.WriteHeader(http.StatusOK)
-		_, _ = w.Write(r.Body)
-		return
-	}
-	defer func() { _ = r.Stream.Close() }()
+	defer r.Close()
+	r.SetContentLength(w.Header())
 	w.WriteHeader(http.StatusOK)
-	if _, err := w.Write(r.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if _, err := io.Copy(w, r.Stream); err != nil {
+	if err := r.CopyBody(w); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -95,7 +95,7 @@
 	}
 	sv := &servers{
 		clientPort: port,
-		clients:    &ffpipeline.Server{Handler: n.Entry, MayRunAhead: n.Entry.MayRunConcurrently, Limits: n.clientLimits, Log: n.Log},
+		clients:    &ffpipeline.Server{Handler: n.Entry, MayRunAhead: n.Entry.MayRunConcurrently, Limits: n.clientLimits, Memory: n.Memory, Log: n.Log},
 	}
 	for _, endpoint := range []struct {
 		address netip.AddrPort
--- a/internal/ffoutbound/answer.go
+++ b/internal/ffoutbound/answer.go
@@ -1,7 +1,6 @@
 package ffoutbound
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,10 +19,9 @@
 // respond answers, counts and logs a request whose run has ended.
 func (h *Handler) respond(w http.ResponseWriter, r *run) {
 	elapsed := time.Since(r.call.Received)
-	if r.response != nil {
+	if r.response != nil && h.writeResponse(w, r) {
 		h.Metrics.Done(r.route.Kind, "answered", elapsed)
 		h.logResponse(r, elapsed)
-		h.writeResponse(w, r.response)
 		return
 	}
 	status, reason := r.failure()
@@ -64,24 +62,28 @@
 	return http.StatusServiceUnavailable, ffmesh.ReasonNoTarget.String()
 }
 
-// writeResponse sends a target's response to the client unchanged. It aborts the
-// connection if a streamed body cannot be copied to its end.
-func (h *Handler) writeResponse(w http.ResponseWriter, r *ffmesh.Reply) {
-	ffmesh.CopyHeader(w.Header(), r.Header)
+// resetter is a response writer that can discard what was written of a response, and
+// reports whether nothing of it was sent, so that another one can be written.
+type resetter interface{ Reset() bool }
+
+// writeResponse sends the target's response to the client unchanged. If a long body ends
+// early it reports false when nothing of the response was sent, and aborts the connection
+// otherwise.
+func (h *Handler) writeResponse(w http.ResponseWriter, r *run) bool {
+	ffmesh.CopyHeader(w.Header(), r.response.Header)
 	h.setConnectionClose(w)
-	if r.Stream == nil {
-		w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
-		w.WriteHeader(r.Status)
-		_, _ = w.Write(r.Body)
-		return
-	}
-	w.WriteHeader(r.Status)
-	if _, err := w.Write(r.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	r.response.SetContentLength(w.Header())
+	w.WriteHeader(r.response.Status)
+	err := r.response.CopyBody(w)
+	if err == nil || r.response.Stream == nil {
+		return true
 	}
-	if _, err := io.Copy(w, r.Stream); err != nil {
+	if unsent, ok := w.(resetter); !ok || !unsent.Reset() {
 		panic(http.ErrAbortHandler)
 	}
+	h.Log.Info().Str("request", r.call.ID).Err(err).Msg("response of the target is incomplete")
+	r.mayHaveRun = true
+	return false
 }
 
 // setConnectionClose announces the end of the connection while the daemon is leaving.
--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -42,6 +42,8 @@
 	// lastChosen is set once a response with "Connection: close" is chosen. Later
 	// requests are not served.
 	lastChosen bool
+	// streaming reports that the response whose turn it is is sent in parts.
+	streaming bool
 	// aborted reports that the connection has been aborted.
 	aborted bool
 	// waiting reports that the reader waits for the first byte of a request.
@@ -288,6 +290,7 @@
 		return
 	}
 	c.unanswered = c.unanswered[1:]
+	c.streaming = false
 	if len(c.unanswered) > 0 {
 		close(c.unanswered[0].turn)
 	} else if c.waiting {
--- a/internal/ffpipeline/error.go
+++ b/internal/ffpipeline/error.go
@@ -16,6 +16,7 @@
 	KindExpect                // expectation not met
 	KindLength                // wrong length of an answer
 	KindClosed                // connection closed
+	KindTooLong               // answer too long
 )
 
 // Error is a failure of a connection or of one of its requests.
--- a/internal/ffpipeline/exchange.go
+++ b/internal/ffpipeline/exchange.go
@@ -38,6 +38,7 @@
 	defer e.cancel()
 	defer e.conn.answered(e)
 	defer close(e.finished)
+	defer e.writer.held.release()
 	if !e.mayStart() {
 		return
 	}
@@ -49,25 +50,47 @@
 // mayStart waits until the request may run. It reports false if the request must
 // not run.
 func (e *exchange) mayStart() bool {
-	if !e.conn.server.ahead(e.request) {
-		select {
-		case <-e.turn:
-		case <-e.conn.ctx.Done():
-			return false
-		}
+	if e.conn.server.ahead(e.request) && e.conn.admit(e) {
+		return true
+	}
+	select {
+	case <-e.turn:
+	case <-e.conn.ctx.Done():
+		return false
 	}
 	return e.conn.admit(e)
 }
 
-// admit marks e as started unless the connection was aborted or an earlier response
-// is the last one.
+// admit marks e as started unless the connection was aborted, an earlier response is the
+// last one, or one is sent in parts: the connection ends if that breaks off.
 func (c *conn) admit(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e.started = !c.aborted && !c.lastChosen
+	e.started = !c.aborted && !c.lastChosen && !c.streaming
 	return e.started
 }
 
+// mayStream reports whether e may send the first part of its response: its turn has come,
+// and no later request has started, whose response would be lost if this one breaks off.
+func (c *conn) mayStream(e *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, other := range c.unanswered {
+		if other != e && (other.started || other == c.unanswered[0]) {
+			return false
+		}
+	}
+	c.streaming = true
+	return true
+}
+
+// beginStream records that a response whose turn it is is sent in parts.
+func (c *conn) beginStream() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streaming = true
+}
+
 // serve calls the handler and reports whether it returned without a panic.
 func (e *exchange) serve() (ok bool) {
 	defer func() {
--- a/internal/ffpipeline/kind_string.go
+++ b/internal/ffpipeline/kind_string.go
@@ -15,11 +15,12 @@
 	_ = x[KindExpect-4]
 	_ = x[KindLength-5]
 	_ = x[KindClosed-6]
+	_ = x[KindTooLong-7]
 }
 
-const _Kind_name = "unknownmalformed requesthead too largeversion not supportedexpectation not metwrong length of an answerconnection closed"
+const _Kind_name = "unknownmalformed requesthead too largeversion not supportedexpectation not metwrong length of an answerconnection closedanswer too long"
 
-var _Kind_index = [...]uint8{0, 7, 24, 38, 59, 78, 103, 120}
+var _Kind_index = [...]uint8{0, 7, 24, 38, 59, 78, 103, 120, 135}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/ffpipeline/server.go
+++ b/internal/ffpipeline/server.go
@@ -33,6 +33,9 @@
 	MayRunAhead func(*http.Request) bool
 	// Limits returns the current limits; if nil, the defaults apply.
 	Limits func() Limits
+	// Memory limits the long responses that are held until they can be sent without risk
+	// for other requests on their connection; if nil, none is held.
+	Memory Memory
 	Log    zerolog.Logger
 
 	mu     sync.Mutex
--- a/internal/ffpipeline/writer.go
+++ b/internal/ffpipeline/writer.go
@@ -13,6 +13,9 @@
 // flushed.
 const flushSize = 64 << 10
 
+// maxHeld is the longest part of a response that is held in memory, in bytes.
+const maxHeld = 4 << 20
+
 // lastChunk terminates a chunked body.
 const lastChunk = "0\r\n\r\n"
 
@@ -32,6 +35,7 @@
 	// chunks.
 	sent    bool
 	chunked bool
+	held    reservation
 }
 
 // Header implements http.ResponseWriter.
@@ -60,12 +64,28 @@
 		return 0, http.ErrContentLength
 	}
 	w.buffered.Write(p)
-	if w.buffered.Len() < flushSize {
+	n := w.buffered.Len()
+	switch {
+	case n < flushSize, !w.sent && !w.e.conn.mayStream(w.e) && w.held.grow(w.e.conn.server.Memory, n):
 		return len(p), nil
+	case !w.sent && n > maxHeld && w.length < 0:
+		return 0, &Error{Op: "answer", Kind: KindTooLong, Err: merry.Errorf("%d bytes, the length is not known", n)}
 	}
 	return len(p), w.FlushError()
 }
 
+// Reset discards what was written of the response, and reports whether another one can be
+// written since nothing of it has been sent.
+func (w *writer) Reset() bool {
+	if w.sent {
+		return false
+	}
+	clear(w.header)
+	w.status, w.written, w.buffered = 0, 0, bytes.Buffer{}
+	w.held.release()
+	return true
+}
+
 // FlushError sends the buffered part of the response, once the earlier responses
 // have been sent.
 func (w *writer) FlushError() error {
@@ -73,6 +93,7 @@
 	if err := w.awaitTurn(); err != nil {
 		return err
 	}
+	w.e.conn.beginStream()
 	var out bytes.Buffer
 	if !w.sent {
 		w.chunked = w.length < 0 && w.mayHaveBody() && w.e.request.ProtoAtLeast(1, 1)
