--- a/internal/ffcommand/mesh.go
+++ b/internal/ffcommand/mesh.go
@@ -52,8 +52,8 @@
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("vm", s.Name).Logger()
 	reloads := make(chan ffnode.Settings, 1)
 	go (&watcher{path: m.Settings, log: log, hangup: hangup, reloads: reloads}).run(ctx)
-	source := platform.NewStore(s.Store, log)
-	if err := ffnode.Run(ctx, s, reloads, source, platform.Headers{}, log); err != nil {
+	store := platform.NewStore(s.Store, log)
+	if err := ffnode.Run(ctx, s, reloads, store, platform.Headers{}, log); err != nil {
 		log.Error().Err(err).Msg("mesh daemon failed")
 		return &Error{Op: "mesh", Kind: KindFailed, Err: err}
 	}
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -56,6 +56,8 @@
 	backoffUntil time.Time
 	lastFullRead time.Time
 	needFullRead bool
+	// moved is set when the store has another address than at the last read.
+	moved atomic.Bool
 	// largeVersion reports that the last read returned a new version of a large
 	// configuration. The store's history may hold many more versions by now, while a
 	// complete read returns only the latest.
@@ -89,6 +91,11 @@
 // step does what is due: it looks for other daemons, or reads the store.
 func (r *Reader) step(ctx context.Context) {
 	now := time.Now()
+	if r.moved.Swap(false) {
+		// What failed at the old address tells nothing of the new one, and its history
+		// need not be the same.
+		r.backoffUntil, r.needFullRead = time.Time{}, true
+	}
 	if now.Before(r.backoffUntil) {
 		return
 	}
@@ -162,6 +169,9 @@
 	return r.readBy
 }
 
+// StoreMoved records that the store has another address than before.
+func (r *Reader) StoreMoved() { r.moved.Store(true) }
+
 // HeardOfNewer records that another daemon has other content, of a later revision.
 func (r *Reader) HeardOfNewer(revision Revision, now time.Time) {
 	r.mu.Lock()
--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -38,6 +38,8 @@
 	Entry    *ffoutbound.Handler
 	Budget   *ffoutbound.RetryBudget
 	Gossip   *ffgossip.Node
+	Reader   *ffgossip.Reader
+	Store    Store
 	Memory   *ffmesh.Memory
 	Registry *prometheus.Registry
 	Log      zerolog.Logger
@@ -45,8 +47,8 @@
 
 // Run assembles a daemon and serves until ctx is done; then it drains the daemon so
 // that no request is interrupted. Each value of reloads replaces the settings.
-func Run(ctx context.Context, s Settings, reloads <-chan Settings, source ffgossip.Source, dialect ffmesh.Dialect, log zerolog.Logger) error {
-	n, err := assemble(s, source, dialect, log)
+func Run(ctx context.Context, s Settings, reloads <-chan Settings, store Store, dialect ffmesh.Dialect, log zerolog.Logger) error {
+	n, err := assemble(s, store, dialect, log)
 	if err != nil {
 		return err
 	}
@@ -166,17 +168,3 @@
 		}
 	}
 }
-
-// runReloads applies changed settings until ctx is done.
-func (n *Node) runReloads(ctx context.Context, reloads <-chan Settings) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-reloads:
-			n.Settings.Store(&s)
-			n.Budget.Set(s.RetryBudget, n.State.Fleet().Len(), time.Now())
-			n.Log.Info().Str("service", s.Service).Stringer("target", s.Target).Msg("reload")
-		}
-	}
-}
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -96,9 +96,9 @@
 	}
 }
 
-func provideReader(s Settings, source ffgossip.Source, state *ffgossip.State, log zerolog.Logger) *ffgossip.Reader {
+func provideReader(s Settings, store Store, state *ffgossip.State, log zerolog.Logger) *ffgossip.Reader {
 	self := ffdelegate.Member{VM: s.PeerAddress.Addr(), DataCentre: s.DataCentre}
-	return &ffgossip.Reader{Source: source, State: state, Self: self, Log: log}
+	return &ffgossip.Reader{Source: store, State: state, Self: self, Log: log}
 }
 
 func provideNode(
--- a/internal/ffnode/settings.go
+++ b/internal/ffnode/settings.go
@@ -35,3 +35,28 @@
 	// LinkRate is the bandwidth of the VM's network link, in bytes per second.
 	LinkRate int64
 }
+
+// fixedChanges returns the names of the settings that differ from those in old and are only
+// read at the start.
+func (s *Settings) fixedChanges(old *Settings) []string {
+	var names []string
+	for _, setting := range []struct {
+		name    string
+		changed bool
+	}{
+		{"name", s.Name != old.Name},
+		{"dataCentre", s.DataCentre != old.DataCentre},
+		{"callerAddress", s.CallerAddress != old.CallerAddress},
+		{"peerAddress", s.PeerAddress != old.PeerAddress},
+		{"heartbeatAddress", s.HeartbeatAddress != old.HeartbeatAddress},
+		{"readyAddress", s.ReadyAddress != old.ReadyAddress},
+		{"metricsAddress", s.MetricsAddress != old.MetricsAddress},
+		{"memory", s.Memory != old.Memory},
+		{"linkRate", s.LinkRate != old.LinkRate},
+	} {
+		if setting.changed {
+			names = append(names, setting.name)
+		}
+	}
+	return names
+}
--- a/internal/ffnode/wire.go
+++ b/internal/ffnode/wire.go
@@ -14,7 +14,7 @@
 //go:generate wire
 
 // assemble builds a daemon from its settings.
-func assemble(s Settings, source ffgossip.Source, dialect ffmesh.Dialect, log zerolog.Logger) (*Node, error) {
+func assemble(s Settings, store Store, dialect ffmesh.Dialect, log zerolog.Logger) (*Node, error) {
 	panic(wire.Build(
 		provideSettings, provideState, provideLocal, provideGate, provideClient, provideGates, providePicker,
 		provideBudget, provideMemory, provideRegistry, provideMetrics, provideHandler, provideReader, provideNode,
--- a/internal/ffnode/wire_gen.go
+++ b/internal/ffnode/wire_gen.go
@@ -16,7 +16,7 @@
 // Injectors from wire.go:
 
 // assemble builds a daemon from its settings.
-func assemble(s Settings, source ffgossip.Source, dialect ffmesh.Dialect, log zerolog.Logger) (*Node, error) {
+func assemble(s Settings, store Store, dialect ffmesh.Dialect, log zerolog.Logger) (*Node, error) {
 	pointer := provideSettings(s)
 	state := provideState(log)
 	ffnodeLocalTarget := provideLocal(pointer, state)
@@ -27,7 +27,7 @@
 	loadTracker := &ffoutbound.LoadTracker{}
 	picker := providePicker(s, loadTracker)
 	retryBudget := provideBudget(s)
-	reader := provideReader(s, source, state, log)
+	reader := provideReader(s, store, state, log)
 	registry, err := provideRegistry(state, reader, gate, retryBudget)
 	if err != nil {
 		return nil, err
@@ -47,6 +47,8 @@
 		Entry:    handler,
 		Budget:   retryBudget,
 		Gossip:   node,
+		Reader:   reader,
+		Store:    store,
 		Memory:   memory,
 		Registry: registry,
 		Log:      log,
