A gate follows its target to another address

Callers would see 503 for a target whose address changed in the settings: the gate looks it up at the new address, but its pool connected to the old one for good.

Change: a reload moves the pool; connections to the old address are not reused.

Red before: TestTargetMoves, no answer within 10 s. After: green.

--- a/internal/ffhop/conn.go
+++ b/internal/ffhop/conn.go
@@ -18,18 +18,20 @@
 
 // Conn is a client connection that carries one HTTP exchange at a time.
 type Conn struct {
-	net    net.Conn
-	head   *headReader
-	reader *bufio.Reader
+	net net.Conn
+	// address is the one that was connected to.
+	address string
+	head    *headReader
+	reader  *bufio.Reader
 	// Unused reports that no exchange has been completed on the connection.
 	Unused    bool
 	idleSince time.Time
 	expires   time.Time
 }
 
-func newConn(c net.Conn) *Conn {
+func newConn(c net.Conn, address string) *Conn {
 	head := &headReader{r: c}
-	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), Unused: true}
+	return &Conn{net: c, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize), Unused: true}
 }
 
 // Close closes the connection.
--- a/internal/ffhop/pool.go
+++ b/internal/ffhop/pool.go
@@ -19,6 +19,21 @@
 	idle []*Conn
 }
 
+// MoveTo makes p connect to another address from now on. Connections to the old one are
+// not reused.
+func (p *Pool) MoveTo(address string) {
+	p.mu.Lock()
+	p.Address = address
+	p.mu.Unlock()
+	p.CloseIdle()
+}
+
+func (p *Pool) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Address
+}
+
 // Get returns a connection that has been idle for at most maxIdle, or dials a new
 // one.
 func (p *Pool) Get(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
@@ -37,11 +52,12 @@
 		}
 		c.Close()
 	}
-	n, err := p.Dialer.DialContext(ctx, "tcp", p.Address)
+	address := p.address()
+	n, err := p.Dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, &Error{Op: "connect to " + p.Address, Kind: KindDial, Err: err}
+		return nil, &Error{Op: "connect to " + address, Kind: KindDial, Err: err}
 	}
-	return newConn(n), nil
+	return newConn(n, address), nil
 }
 
 func (p *Pool) pop() *Conn {
@@ -58,6 +74,10 @@
 func (p *Pool) push(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.address != p.Address {
+		c.Close()
+		return
+	}
 	if len(p.idle) < p.MaxIdle {
 		p.idle = append(p.idle, c)
 		return
--- a/internal/ffnode/reload.go
+++ b/internal/ffnode/reload.go
@@ -34,6 +34,9 @@
 		n.Store.MoveTo(s.Store)
 		n.Reader.StoreMoved()
 	}
+	if s.Target != old.Target {
+		n.Gate.Pool.MoveTo(s.Target.String())
+	}
 	if fixed := s.fixedChanges(old); len(fixed) > 0 {
 		n.Log.Warn().Strs("settings", fixed).Msg("changed settings take effect at the next start")
 	}
