A panic while a body is sent ends one exchange

Change: such an error is returned with its stack, the connection is closed, so that the peer gets no complete body, and the exchange's error names what ended the body.

Red before: TestPanicInBody ended the test process by its panic. After: green.

--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"fireflyfall.dev/fireflyfall/internal/ffbody"
 )
 
@@ -175,29 +179,37 @@
 	go e.writeBody(r, stream)
 }
 
-// writeBody sends the body of a request, which is that of stream unless stream is nil.
+// writeBody sends the body of a request, which is that of stream unless stream is nil, and
+// closes the connection if the stream or the sending of it fails.
 func (e *Exchange) writeBody(r *Request, stream io.Reader) {
 	if stream == nil {
 		_, err := e.conn.net.Write(r.Body)
 		e.bodyResult <- err
 		return
 	}
-	if r.Length >= 0 {
-		n, err := io.CopyBuffer(onlyWriter{e.conn.net}, io.LimitReader(stream, r.Length), make([]byte, streamBufferSize))
-		if err == nil && n < r.Length {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			e.conn.Close()
-		}
-		e.bodyResult <- err
-		return
-	}
-	err := writeChunked(e.conn.net, stream)
+	err := e.sendStream(stream, r.Length)
+	e.bodyResult <- err
 	if err != nil {
 		e.conn.Close()
 	}
-	e.bodyResult <- err
+}
+
+// sendStream sends a body of the given length, -1 if it is not known. An unexpected error of
+// its reader is returned, with the stack, so that it ends this exchange alone.
+func (e *Exchange) sendStream(body io.Reader, length int64) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = merry.Errorf("panic: %v\n%s", reason, debug.Stack())
+		}
+	}()
+	if length < 0 {
+		return writeChunked(e.conn.net, body)
+	}
+	n, err := io.CopyBuffer(onlyWriter{e.conn.net}, io.LimitReader(body, length), make([]byte, streamBufferSize))
+	if err == nil && n < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 type onlyWriter struct{ io.Writer }
@@ -237,6 +249,9 @@
 	if cause := context.Cause(e.ctx); cause != nil {
 		err = cause
 	}
+	if sent, bodyErr := e.bodySent(); !sent && bodyErr != nil {
+		err = fmt.Errorf("%w; body not sent: %w", err, bodyErr)
+	}
 	return &Error{Op: op, Kind: kind, Err: err}
 }
 
@@ -310,23 +325,25 @@
 // Finish ends an exchange whose response was read completely. It returns the
 // connection if it can be reused; otherwise it closes it and returns nil.
 func (e *Exchange) Finish(resp *http.Response) *Conn {
-	if e.release() && e.earlyResponse == nil && !resp.Close && e.conn.reader.Buffered() == 0 && e.bodySent() {
+	sent, _ := e.bodySent()
+	if e.release() && e.earlyResponse == nil && !resp.Close && e.conn.reader.Buffered() == 0 && sent {
 		return e.conn
 	}
 	e.conn.Close()
 	return nil
 }
 
-// bodySent reports whether the whole request was sent.
-func (e *Exchange) bodySent() bool {
+// bodySent reports whether the whole body was sent, and what made that fail, if it did. It
+// is called once, at the end of the exchange.
+func (e *Exchange) bodySent() (sent bool, err error) {
 	if e.bodyResult == nil {
-		return true
+		return true, nil
 	}
 	select {
 	case err := <-e.bodyResult:
-		return err == nil
+		return err == nil, err
 	default:
-		return false
+		return false, nil
 	}
 }
 
