Response bodies without end cannot fill the memory together

Change: fftarget reserves memory for bodies as they are read, 256 MiB in all by default.

Red before: TestEndlessRepliesTogether, 0 of 16 calls ended at once, want 12. After: green, also with the race detector.

--- a/internal/fftarget/client.go
+++ b/internal/fftarget/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/semaphore"
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
 )
@@ -21,6 +22,9 @@
 	maxHeaderBytes = 64 << 10
 	// defaultMaxReplyBytes is the default maximum size of a response body, in bytes.
 	defaultMaxReplyBytes = 64 << 20
+	// defaultMaxReplyMemory is the default maximum size of all response bodies that are
+	// being read, in bytes.
+	defaultMaxReplyMemory = 256 << 20
 )
 
 // Settings configures a Client.
@@ -32,6 +36,9 @@
 	MaxConnections int
 	// MaxReplyBytes is the maximum size of a response body; zero means 64 MiB.
 	MaxReplyBytes int64
+	// MaxReplyMemory is the maximum size of all response bodies that are being read;
+	// zero means 256 MiB.
+	MaxReplyMemory int64
 	// ProbePath is the path of the health check, which responds with a 2xx status
 	// if the target is ready. If empty, a target that accepts connections is ready.
 	ProbePath string
@@ -41,6 +48,8 @@
 type Client struct {
 	settings  Settings
 	transport *http.Transport
+	// replyMemory limits the response bodies that are being read.
+	replyMemory *semaphore.Weighted
 }
 
 // NewClient returns a client without connections.
@@ -48,12 +57,16 @@
 	if settings.MaxReplyBytes <= 0 {
 		settings.MaxReplyBytes = defaultMaxReplyBytes
 	}
+	if settings.MaxReplyMemory <= 0 {
+		settings.MaxReplyMemory = defaultMaxReplyMemory
+	}
 	idle := settings.MaxConnections
 	if idle <= 0 {
 		idle = http.DefaultMaxIdleConnsPerHost
 	}
 	return &Client{
-		settings: settings,
+		settings:    settings,
+		replyMemory: semaphore.NewWeighted(settings.MaxReplyMemory),
 		transport: &http.Transport{
 			DialContext:            dial,
 			MaxConnsPerHost:        settings.MaxConnections,
--- a/internal/fftarget/reply.go
+++ b/internal/fftarget/reply.go
@@ -1,6 +1,8 @@
 package fftarget
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,8 +21,10 @@
 	if !isDelimited(resp) {
 		return nil, ffcall.KindTruncated, merry.New("the response body is not delimited")
 	}
-	content, err := io.ReadAll(io.LimitReader(resp.Body, c.settings.MaxReplyBytes+1))
+	content, err := c.readLimited(io.LimitReader(resp.Body, c.settings.MaxReplyBytes+1))
 	switch {
+	case errors.Is(err, errReplyMemory):
+		return nil, ffcall.KindTooLarge, err
 	case err != nil:
 		return nil, ffcall.KindTruncated, err
 	case int64(len(content)) > c.settings.MaxReplyBytes:
@@ -29,6 +33,32 @@
 	return content, ffcall.KindUnknown, nil
 }
 
+// replyPart is the part of a response body, in bytes, for which memory is reserved at once.
+// The first one of each body needs no reservation.
+const replyPart = 64 << 10
+
+var errReplyMemory = merry.New("the response bodies that are being read take all memory for them")
+
+// readLimited reads body to its end. It fails with errReplyMemory if all bodies that are
+// being read would take more than MaxReplyMemory.
+func (c *Client) readLimited(body io.Reader) ([]byte, error) {
+	var content bytes.Buffer
+	var reserved int64
+	defer func() { c.replyMemory.Release(reserved) }()
+	for {
+		_, err := io.CopyN(&content, body, replyPart)
+		switch {
+		case errors.Is(err, io.EOF):
+			return content.Bytes(), nil
+		case err != nil:
+			return nil, err
+		case !c.replyMemory.TryAcquire(replyPart):
+			return nil, errReplyMemory
+		}
+		reserved += replyPart
+	}
+}
+
 // isDelimited reports whether a truncated body can be detected: the response gives
 // its length, is chunked or has no body.
 func isDelimited(resp *http.Response) bool {
