The client library bounds an answer's body

Change: MaxAnswerBytes, 64 MiB by default; a longer body ends the call with an unknown outcome.

Red before: TestEndlessAnswer of ffclient, the call ended only at its deadline (5 s). After: green.

--- a/pkg/ffclient/client.go
+++ b/pkg/ffclient/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -17,6 +18,9 @@
 // onceRetryInterval is the time between two attempts with one token.
 const onceRetryInterval = 100 * time.Millisecond
 
+// defaultMaxAnswerBytes is the default of MaxAnswerBytes.
+const defaultMaxAnswerBytes = 64 << 20
+
 // Client sends the calls of one customer to a set of daemons.
 type Client struct {
 	// Addresses are the caller addresses of the daemons (IP and port).
@@ -24,6 +28,8 @@
 	Key       string
 	// HTTP sends the requests; http.DefaultClient when nil.
 	HTTP *http.Client
+	// MaxAnswerBytes is the maximum size of an answer's body; 64 MiB when 0.
+	MaxAnswerBytes int64
 
 	requestCount atomic.Uint64
 }
@@ -60,7 +66,7 @@
 		return nil, &Error{Op: "call", Kind: KindTransport, Outcome: outcomeOf(sent.Load() > 0, r), Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := c.readBody(response.Body)
 	if err != nil {
 		return nil, &Error{Op: "read answer", Kind: KindTransport, Outcome: OutcomeUnknown, Err: err}
 	}
@@ -72,6 +78,16 @@
 	return a, nil
 }
 
+// readBody reads an answer's body, which may have at most MaxAnswerBytes.
+func (c *Client) readBody(r io.Reader) ([]byte, error) {
+	limit := cmp.Or(c.MaxAnswerBytes, defaultMaxAnswerBytes)
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = merry.Errorf("the body exceeds %d bytes", limit)
+	}
+	return body, err
+}
+
 // outcomeOf returns the outcome of a call without an answer. A request that was
 // not sent did not run; with a token, an earlier request may have run.
 func outcomeOf(sent bool, r Request) Outcome {
