--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -1,28 +1,13 @@
 package ffhop
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"runtime/debug"
-	"strconv"
-	"strings"
 	"time"
-
-	"github.com/ansel1/merry/v2"
-
-	"fireflyfall.dev/fireflyfall/internal/ffbody"
-)
-
-// Sizes in bytes: the longest body that is written at once, and the buffer for
-// streamed bodies.
-const (
-	maxInlineBody    = 16 << 10
-	streamBufferSize = 16 << 10
 )
 
 // maxDrainBytes and maxDrainTime bound a body that is read only to reuse its connection.
@@ -31,31 +16,6 @@
 	maxDrainTime  = 100 * time.Millisecond
 )
 
-// lastChunk terminates a chunked body.
-const lastChunk = "0\r\n\r\n"
-
-// Request is an outgoing HTTP request.
-type Request struct {
-	Method string
-	URI    string
-	Host   string
-	Header http.Header
-	Body   []byte
-	// Stream replaces Body when it is set; Length is its length in bytes, or -1 if
-	// unknown.
-	Stream *ffbody.Stream
-	Length int64
-	// ContinueTimeout bounds the wait for "100 Continue". When it is set, the body is sent
-	// only after that response, so that a peer that has not asked for the body
-	// cannot run the request.
-	ContinueTimeout time.Duration
-	// FirstByteTimeout bounds the wait for the first byte of a response, usually an interim one,
-	// which shows that the peer has received the request. After that time OnFirstByteTimeout is
-	// called, and the exchange continues.
-	FirstByteTimeout   time.Duration
-	OnFirstByteTimeout func()
-}
-
 // Exchange is a request in flight on a connection.
 type Exchange struct {
 	conn       *Conn
@@ -142,14 +102,6 @@
 	return e, nil
 }
 
-// openStream returns the reader of a streamed body, or nil if the body is in memory.
-func (r *Request) openStream() (io.Reader, error) {
-	if r.Stream == nil {
-		return nil, nil
-	}
-	return r.Stream.Open()
-}
-
 // awaitContinue waits for "100 Continue" or a final response. Each "102 Processing"
 // restarts the timeout.
 func (e *Exchange) awaitContinue(r *Request) (*http.Response, error) {
@@ -174,72 +126,6 @@
 	return failure
 }
 
-func (e *Exchange) startBody(r *Request, stream io.Reader) {
-	e.bodyResult = make(chan error, 1)
-	go e.writeBody(r, stream)
-}
-
-// writeBody sends the body of a request, which is that of stream unless stream is nil, and
-// closes the connection if the stream or the sending of it fails.
-func (e *Exchange) writeBody(r *Request, stream io.Reader) {
-	if stream == nil {
-		_, err := e.conn.net.Write(r.Body)
-		e.bodyResult <- err
-		return
-	}
-	err := e.sendStream(stream, r.Length)
-	e.bodyResult <- err
-	if err != nil {
-		e.conn.Close()
-	}
-}
-
-// sendStream sends a body of the given length, -1 if it is not known. An unexpected error of
-// its reader is returned, with the stack, so that it ends this exchange alone.
-func (e *Exchange) sendStream(body io.Reader, length int64) (err error) {
-	defer func() {
-		if reason := recover(); reason != nil {
-			err = merry.Errorf("panic: %v\n%s", reason, debug.Stack())
-		}
-	}()
-	if length < 0 {
-		return writeChunked(e.conn.net, body)
-	}
-	n, err := io.CopyBuffer(onlyWriter{e.conn.net}, io.LimitReader(body, length), make([]byte, streamBufferSize))
-	if err == nil && n < length {
-		err = io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-type onlyWriter struct{ io.Writer }
-
-// writeChunked sends r in chunked encoding. The last chunk is sent only if r was
-// read to its end.
-func writeChunked(w io.Writer, r io.Reader) error {
-	buf := make([]byte, streamBufferSize)
-	var out bytes.Buffer
-	for {
-		n, err := r.Read(buf)
-		if n > 0 {
-			out.Reset()
-			out.WriteString(strconv.FormatInt(int64(n), 16) + "\r\n")
-			out.Write(buf[:n])
-			out.WriteString("\r\n")
-			if _, err := w.Write(out.Bytes()); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			_, err = io.WriteString(w, lastChunk)
-			return err
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 func (e *Exchange) fail(op string, err error) error {
 	e.close()
 	kind := KindBroken
@@ -332,54 +218,3 @@
 	e.conn.Close()
 	return nil
 }
-
-// bodySent reports whether the whole body was sent, and what made that fail, if it did. It
-// is called once, at the end of the exchange.
-func (e *Exchange) bodySent() (sent bool, err error) {
-	if e.bodyResult == nil {
-		return true, nil
-	}
-	select {
-	case err := <-e.bodyResult:
-		return err == nil, err
-	default:
-		return false, nil
-	}
-}
-
-// KeepAliveTimeout returns how long an idle connection may be reused: 70 percent of the
-// timeout in the response's Keep-Alive header, or fallback if there is none.
-func KeepAliveTimeout(resp *http.Response, fallback time.Duration) time.Duration {
-	for _, line := range resp.Header["Keep-Alive"] {
-		for part := range strings.SplitSeq(line, ",") {
-			value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-			if !ok {
-				continue
-			}
-			if s, err := strconv.Atoi(value); err == nil && s >= 0 {
-				return time.Duration(s) * time.Second * 7 / 10
-			}
-		}
-	}
-	return fallback
-}
-
-func (r *Request) encodeHead() *bytes.Buffer {
-	var b bytes.Buffer
-	b.Grow(maxInlineBody / 16)
-	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	_ = r.Header.WriteSubset(&b, nil)
-	if r.ContinueTimeout > 0 {
-		b.WriteString("Expect: 100-continue\r\n")
-	}
-	switch {
-	case r.Stream != nil && r.Length < 0, r.ContinueTimeout > 0 && r.Stream == nil && len(r.Body) == 0:
-		b.WriteString("Transfer-Encoding: chunked\r\n")
-	case r.Stream != nil:
-		b.WriteString("Content-Length: " + strconv.FormatInt(r.Length, 10) + "\r\n")
-	case len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	return &b
-}
