A long upload is offered elsewhere if its first target is down

Callers got 503 for a long upload of unknown length that met a crashed target, though others were free: the gate asked for the body before it connected, and a body that was opened cannot be sent again.

Change: a gate checks that its target takes connections, within 100 ms, before it asks for such a body. The connection is kept for the call.

--- a/internal/ffhop/pool.go
+++ b/internal/ffhop/pool.go
@@ -60,6 +60,20 @@
 	return newConn(n, address), nil
 }
 
+// Check connects to the address unless there is an idle connection that can be reused, and
+// keeps the connection for the next call. It returns why that failed.
+func (p *Pool) Check(ctx context.Context, maxIdle time.Duration, expires time.Time) error {
+	c, err := p.Get(ctx, maxIdle)
+	if err != nil {
+		return err
+	}
+	if c.Unused {
+		c.idleSince, c.expires = time.Now(), expires
+	}
+	p.push(c)
+	return nil
+}
+
 func (p *Pool) pop() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/ffinbound/admission.go
+++ b/internal/ffinbound/admission.go
@@ -37,6 +37,9 @@
 // AdmitBody waits until the body of c may be sent over the link, and calls keepAlive
 // while it waits. The caller calls done once the body was received or abandoned.
 func (g *Gate) AdmitBody(ctx context.Context, c *ffmesh.Call, keepAlive func()) (done func(), refusal *ffmesh.Reply) {
+	if refusal := g.checkConnection(ctx, c); refusal != nil {
+		return nil, refusal
+	}
 	if g.Intake == nil {
 		return func() {}, nil
 	}
--- a/internal/ffinbound/send.go
+++ b/internal/ffinbound/send.go
@@ -24,17 +24,39 @@
 	// maxBufferedBody is the length, in bytes, from which a response is streamed instead
 	// of buffered whole.
 	maxBufferedBody = 256 << 10
+	// checkTimeout bounds a check of the connection to the target. It is shorter than an
+	// entry waits until the gate asks for a body.
+	checkTimeout = 100 * time.Millisecond
 	// maxForeignResponses limits the responses to other attempts that are skipped.
 	maxForeignResponses = 3
 )
 
-// send sends a call to the target and returns its reply.
-func (g *Gate) send(ctx context.Context, c *ffmesh.Call, t fffleet.Target) *ffmesh.Reply {
-	maxIdle := maxIdleNonIdempotent
+// maxIdle returns how long a connection may have been idle before it is used for c.
+func maxIdle(c *ffmesh.Call) time.Duration {
 	if c.Kind.Idempotent() {
-		maxIdle = maxIdleIdempotent
+		return maxIdleIdempotent
 	}
-	conn, err := g.Pool.Get(ctx, maxIdle)
+	return maxIdleNonIdempotent
+}
+
+// checkConnection returns the refusal of a call whose body can be sent only once, if there
+// is no connection to the target: nobody has read of the body yet, and another gate can
+// still get it whole.
+func (g *Gate) checkConnection(ctx context.Context, c *ffmesh.Call) *ffmesh.Reply {
+	if !c.HasStreamedBody() {
+		return nil
+	}
+	checking, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if err := g.Pool.Check(checking, maxIdle(c), time.Now().Add(defaultIdleTimeout)); err != nil {
+		return g.attachLoad(g.notSent(ctx, c, ffmesh.ReasonConnect, err))
+	}
+	return nil
+}
+
+// send sends a call to the target and returns its reply.
+func (g *Gate) send(ctx context.Context, c *ffmesh.Call, t fffleet.Target) *ffmesh.Reply {
+	conn, err := g.Pool.Get(ctx, maxIdle(c))
 	if err != nil {
 		return g.notSent(ctx, c, ffmesh.ReasonConnect, err)
 	}
--- a/internal/ffmesh/call.go
+++ b/internal/ffmesh/call.go
@@ -62,5 +62,9 @@
 	return max(c.Length, int64(len(c.Body)))
 }
 
+// HasStreamedBody reports whether the body is too long to be buffered, so that it can be sent
+// to one target only.
+func (c *Call) HasStreamedBody() bool { return c.BodyLength() >= MaxBufferedBody }
+
 // HasLongBody reports whether the body takes a notable time to transfer on a slow link.
 func (c *Call) HasLongBody() bool { return c.BodyLength() >= longBody }
