--- a/pkg/ffclient/endless_test.go
+++ b/pkg/ffclient/endless_test.go
@@ -18,7 +18,9 @@
 	const wait = 5 * time.Second
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Fireflyfall-Outcome", "ran")
-		for _, err := w.Write(make([]byte, 1<<10)); err == nil; _, err = w.Write(make([]byte, 1<<10)) {
+		part := make([]byte, 1<<10)
+		for err := error(nil); err == nil; {
+			_, err = w.Write(part)
 		}
 	}))
 	defer server.Close()
