The mesh soak sends long uploads in chunks, and clients leave long answers

Now one upload in three is sent in chunks and is too long for a daemon's memory, some answers have 600 KiB, and half of their clients leave early; a new promise, unchanged, checks that what ran is what was sent.

--- a/internal/ffmeshsoak/client.go
+++ b/internal/ffmeshsoak/client.go
@@ -9,6 +9,9 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 	"fireflyfall.dev/fireflyfall/platform/ffstandin"
 )
 
@@ -19,11 +22,18 @@
 	clientPause = 25 * time.Millisecond
 	// failurePause is added to the pause after a request without a complete response.
 	failurePause = 40 * time.Millisecond
-	// uploadBytes is the body size of an upload, in bytes.
-	uploadBytes = 40 << 10
+	// uploadBytes is the body size of an upload, in bytes, and streamedBytes that of one
+	// which is sent in chunks and which daemons do not hold in memory.
+	uploadBytes   = 40 << 10
+	streamedBytes = ffmesh.MaxBufferedBody
 	// One request in versionOneIn uses the route of the latest version, one in onceOneIn
-	// of the others must run at most once, and one in longOneIn of those is an upload.
-	onceOneIn, longOneIn, versionOneIn = 3, 9, 8
+	// of the others must run at most once, and one in longOneIn of those is an upload, of
+	// which one in streamedOneIn is sent in chunks.
+	onceOneIn, longOneIn, streamedOneIn, versionOneIn = 3, 9, 3, 8
+	// One of the other requests in longAnswerOneIn gets a long answer, and the clients of
+	// one in leaveOneIn of these leave within maxStay.
+	longAnswerOneIn, leaveOneIn = 12, 2
+	maxStay                     = 2 * workTime
 )
 
 // client sends requests to the daemon of one VM and reuses its connection until the
@@ -36,7 +46,10 @@
 	recorder *recorder
 	http     http.Client
 	rand     *rand.Rand
-	sent     int
+	// lengths decides what is long and who leaves. It is apart from rand, so that what
+	// rand decides for a seed stays the same.
+	lengths *rand.Rand
+	sent    int
 }
 
 // run sends requests one after another until ctx ends.
@@ -55,30 +68,61 @@
 	}
 }
 
+// request is what a client sends.
+type request struct {
+	method, path, body string
+	// chunked leaves out the length of the body.
+	chunked bool
+	// stay is how long the client waits for the response.
+	stay time.Duration
+}
+
 // next returns the next random request.
-func (c *client) next() (a Attempt, method, path, body string) {
+func (c *client) next() (Attempt, request) {
 	c.sent++
-	a = Attempt{ID: fmt.Sprint(c.name, "-", c.sent), VM: c.vm}
+	a := Attempt{ID: fmt.Sprint(c.name, "-", c.sent), VM: c.vm}
+	r := request{method: http.MethodGet, path: "/safe/x", stay: clientTimeout}
 	switch {
 	case c.rand.IntN(versionOneIn) == 0:
 		a.Version = c.f.latestVersion()
-		return a, http.MethodGet, "/" + routeOf(a.Version) + "/x", ""
+		r.path = "/" + routeOf(a.Version) + "/x"
 	case c.rand.IntN(onceOneIn) == 0:
 		a.Once = true
+		r.method, r.path = http.MethodPost, "/once/x"
 		if c.rand.IntN(longOneIn) == 0 {
-			body = strings.Repeat("b", uploadBytes)
+			r.body = strings.Repeat(a.ID, uploadBytes/len(a.ID))
+			if c.lengths.IntN(streamedOneIn) == 0 {
+				r.body, r.chunked = strings.Repeat(a.ID, streamedBytes/len(a.ID)+1)[:streamedBytes], true
+			}
+		}
+	case c.lengths.IntN(longAnswerOneIn) == 0:
+		r.path = longAnswerPath
+		if c.lengths.IntN(leaveOneIn) == 0 {
+			a.Left, r.stay = true, time.Duration(c.lengths.Int64N(int64(maxStay)))
 		}
-		return a, http.MethodPost, "/once/x", body
 	}
-	return a, http.MethodGet, "/safe/x", ""
+	a.Sum = sumOf(r.body)
+	return a, r
+}
+
+// sumOf returns the checksum of a body; 0 if it is empty.
+func sumOf(body string) uint64 {
+	if body == "" {
+		return 0
+	}
+	return xxhash.Sum64String(body)
 }
 
 // send sends one request, records it and reports whether a complete response arrived.
 func (c *client) send() bool {
-	a, method, path, body := c.next()
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	a, q := c.next()
+	ctx, cancel := context.WithTimeout(context.Background(), q.stay)
 	defer cancel()
-	r, err := ffstandin.NewRequest(ctx, method, c.address, path, a.ID, clientTimeout, strings.NewReader(body))
+	var body io.Reader = strings.NewReader(q.body)
+	if q.chunked {
+		body = struct{ io.Reader }{body}
+	}
+	r, err := ffstandin.NewRequest(ctx, q.method, c.address, q.path, a.ID, clientTimeout, body)
 	if err != nil {
 		panic(err)
 	}
@@ -92,6 +136,9 @@
 		_ = resp.Body.Close()
 		if failed == nil {
 			a.Status, a.Body, a.Signer = resp.StatusCode, string(b), c.signer(resp.Header, a.ID)
+			if a.Body == longAnswer(a.ID) {
+				a.Body = a.ID
+			}
 			a.Limited, a.Leaving = ffstandin.NamesLimit(resp.Header), ffstandin.SaysLeaving(resp.Header)
 		}
 	}
--- a/internal/ffmeshsoak/enum_string.go
+++ b/internal/ffmeshsoak/enum_string.go
@@ -25,7 +25,6 @@
 	}
 	return _Kind_name[_Kind_index[idx]:_Kind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -60,7 +59,6 @@
 	}
 	return _Fault_name[_Fault_index[idx]:_Fault_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -75,11 +73,12 @@
 	_ = x[PromiseStop-7]
 	_ = x[PromiseRecovers-8]
 	_ = x[PromiseLimit-9]
+	_ = x[PromiseUnchanged-10]
 }
 
-const _Promise_name = "oncenotRunwholeroutednoOlderinForceleavingplannedStoprecoverslimit"
+const _Promise_name = "oncenotRunwholeroutednoOlderinForceleavingplannedStoprecoverslimitunchanged"
 
-var _Promise_index = [...]uint8{0, 4, 10, 15, 21, 28, 35, 42, 53, 61, 66}
+var _Promise_index = [...]uint8{0, 4, 10, 15, 21, 28, 35, 42, 53, 61, 66, 75}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/internal/ffmeshsoak/fleet.go
+++ b/internal/ffmeshsoak/fleet.go
@@ -78,7 +78,7 @@
 // loopback address. It does not start the daemons.
 func newFleet(program, dir string, n int) (*fleet, error) {
 	f := &fleet{program: program, dir: dir}
-	f.setBehaviour(func(*http.Request) ffstandin.Behaviour { return ffstandin.Behaviour{Work: workTime} })
+	f.setBehaviour(sound)
 	f.server = httptest.NewServer(&f.store)
 	f.publishVersion()
 	ports, err := freePorts()
@@ -95,6 +95,24 @@
 	return f, nil
 }
 
+// Long answers, which daemons pass on as they come.
+const (
+	longAnswerPath  = "/safe/long"
+	longAnswerBytes = 600 << 10
+)
+
+// longAnswer returns the body of the long answer to an attempt.
+func longAnswer(id string) string { return strings.Repeat(id, longAnswerBytes/len(id)) }
+
+// sound is how a target without a fault handles a request.
+func sound(r *http.Request) ffstandin.Behaviour {
+	b := ffstandin.Behaviour{Work: workTime}
+	if r.URL.Path == longAnswerPath {
+		b.Body = longAnswer(ffstandin.AttemptID(r.Header))
+	}
+	return b
+}
+
 func (f *fleet) setBehaviour(b func(*http.Request) ffstandin.Behaviour) { f.behaviour.Store(&b) }
 
 // Indexes of the ports, which are the same on all VMs.
--- a/internal/ffmeshsoak/judge.go
+++ b/internal/ffmeshsoak/judge.go
@@ -12,16 +12,17 @@
 
 // Promises.
 const (
-	PromiseOnce     Promise = iota // once
-	PromiseNotRun                  // notRun
-	PromiseComplete                // whole
-	PromiseRouted                  // routed
-	PromiseNoOlder                 // noOlder
-	PromiseActive                  // inForce
-	PromiseLeaving                 // leaving
-	PromiseStop                    // plannedStop
-	PromiseRecovers                // recovers
-	PromiseLimit                   // limit
+	PromiseOnce      Promise = iota // once
+	PromiseNotRun                   // notRun
+	PromiseComplete                 // whole
+	PromiseRouted                   // routed
+	PromiseNoOlder                  // noOlder
+	PromiseActive                   // inForce
+	PromiseLeaving                  // leaving
+	PromiseStop                     // plannedStop
+	PromiseRecovers                 // recovers
+	PromiseLimit                    // limit
+	PromiseUnchanged                // unchanged
 )
 
 // Violation is a violation of a promise.
@@ -53,7 +54,7 @@
 	for _, a := range sortedByEnd(rec.Attempts) {
 		c.checkAttempt(a)
 		c.checkNoOlder(a, shown)
-		if a.Sent.After(rec.Faulty.Add(recoveryLimit)) && a.Version == 0 {
+		if a.Sent.After(rec.Faulty.Add(recoveryLimit)) && a.Version == 0 && !a.Left {
 			total++
 			if a.Status == http.StatusOK {
 				served++
@@ -95,6 +96,11 @@
 	if a.Once && len(runs) > 1 {
 		c.report(PromiseOnce, "%s was executed %d times", a.ID, len(runs))
 	}
+	for _, r := range runs {
+		if sumOf(r.Body) != a.Sum {
+			c.report(PromiseUnchanged, "%s was executed with another body, of %d bytes", a.ID, len(r.Body))
+		}
+	}
 	switch a.Status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		if a.Once && len(runs) > 0 {
@@ -189,7 +195,7 @@
 		c.report(PromiseStop, "VM %d: %s", h.VM, h.Failed)
 	}
 	for _, a := range c.rec.Attempts {
-		if a.VM != h.VM || a.Sent.After(h.Ended) || a.Ended.Before(h.Began) || a.Status != 0 {
+		if a.VM != h.VM || a.Sent.After(h.Ended) || a.Ended.Before(h.Began) || a.Status != 0 || a.Left {
 			continue
 		}
 		if len(c.rec.Runs[a.ID]) > 0 && c.undisturbed(h, a.Ended) {
--- a/internal/ffmeshsoak/judge_test.go
+++ b/internal/ffmeshsoak/judge_test.go
@@ -47,6 +47,9 @@
 			addAnswered(rec, "a", attempt{Once: true, Sent: after(1), Ended: after(9)})
 			addRun(rec, "a", after(5), "u")
 		},
+		ffmeshsoak.PromiseUnchanged: func(rec *record) {
+			addAnswered(rec, "a", attempt{Once: true, Sum: 1, Sent: after(1), Ended: after(9)})
+		},
 		ffmeshsoak.PromiseNotRun: func(rec *record) {
 			rec.Attempts = append(rec.Attempts, attempt{ID: "a", Once: true, Status: http.StatusServiceUnavailable, Sent: after(1), Ended: after(9)})
 			addRun(rec, "a", after(5), "t")
--- a/internal/ffmeshsoak/record.go
+++ b/internal/ffmeshsoak/record.go
@@ -17,6 +17,10 @@
 	// Once is set if the request must be executed at most once.
 	Once        bool
 	Sent, Ended time.Time
+	// Sum is the checksum of the body that was sent.
+	Sum uint64
+	// Left is set if the client meant to leave before the response.
+	Left bool
 	// Status is the status code, or 0 without a complete response.
 	Status int
 	Body   string
--- a/internal/ffmeshsoak/soak.go
+++ b/internal/ffmeshsoak/soak.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// lengthStreams is the first of the random streams that decide the lengths.
+	lengthStreams = 1 << 32
 	// clientsPerVM is the number of clients per VM.
 	clientsPerVM = 3
 	// stopTimeout limits a planned stop.
@@ -61,7 +63,7 @@
 	var background sync.WaitGroup
 	background.Go(func() { f.runHeartbeats(running) })
 	for i := range o.VMs * clientsPerVM {
-		c := &client{name: fmt.Sprint("c", i), vm: i % o.VMs, address: f.vms[i%o.VMs].config.Callers, f: f, recorder: out, rand: rand.New(rand.NewPCG(o.Seed, uint64(i)+2))}
+		c := &client{name: fmt.Sprint("c", i), vm: i % o.VMs, address: f.vms[i%o.VMs].config.Callers, f: f, recorder: out, rand: rand.New(rand.NewPCG(o.Seed, uint64(i)+2)), lengths: rand.New(rand.NewPCG(o.Seed, uint64(i)+lengthStreams))}
 		background.Go(func() { c.run(running) })
 	}
 	f.runEvents(running, o.events(), out)
