An unexpected error in one request ends that request alone

Change: unless a part of its response was sent, the request gets 500, and the connection goes on.

Red before: ffpipeline TestPanicEndsNeighbours, unexpected EOF. After: green.

--- a/internal/ffpipeline/exchange.go
+++ b/internal/ffpipeline/exchange.go
@@ -91,11 +91,14 @@
 	c.streaming = true
 }
 
-// serve calls the handler and reports whether it returned without a panic.
+// serve calls the handler and reports whether there is a response. After an unexpected error
+// of the handler that is a 500, unless a part of another one was sent.
 func (e *exchange) serve() (ok bool) {
 	defer func() {
 		if reason := recover(); reason != nil && reason != http.ErrAbortHandler {
 			e.conn.server.Log.Error().Interface("panic", reason).Bytes("stack", debug.Stack()).Msg("handler failed")
+			ok = e.writer.Reset()
+			e.writer.WriteHeader(http.StatusInternalServerError)
 		}
 	}()
 	e.handler.ServeHTTP(e.writer, e.request)
