--- a/internal/ffmeshsoak/enum_string.go
+++ b/internal/ffmeshsoak/enum_string.go
@@ -25,6 +25,7 @@
 	}
 	return _Kind_name[_Kind_index[idx]:_Kind_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -59,6 +60,7 @@
 	}
 	return _Fault_name[_Fault_index[idx]:_Fault_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
