An unexpected error ends one step of gossip alone

Change: each step of these loops is contained and logged with its stack; a read that ends so counts as a failure, with its backoff. Locks around the schedule are released by defer.

--- a/internal/ffgossip/error.go
+++ b/internal/ffgossip/error.go
@@ -13,6 +13,7 @@
 	KindListen              // listen
 	KindPull                // pull
 	KindDecode              // decode
+	KindPanic               // panic
 )
 
 // Error is a failure to exchange snapshots with other daemons.
--- a/internal/ffgossip/kind_string.go
+++ b/internal/ffgossip/kind_string.go
@@ -12,11 +12,12 @@
 	_ = x[KindListen-1]
 	_ = x[KindPull-2]
 	_ = x[KindDecode-3]
+	_ = x[KindPanic-4]
 }
 
-const _Kind_name = "unknownlistenpulldecode"
+const _Kind_name = "unknownlistenpulldecodepanic"
 
-var _Kind_index = [...]uint8{0, 7, 13, 17, 23}
+var _Kind_index = [...]uint8{0, 7, 13, 17, 23, 28}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/ffgossip/node.go
+++ b/internal/ffgossip/node.go
@@ -148,11 +148,7 @@
 	defer ticker.Stop()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for {
-		n.Peers.Forget(time.Now())
-		n.mu.Lock()
-		round := n.schedule.Next(n.hearers(), n.DataCentre, time.Now(), rng)
-		n.mu.Unlock()
-		n.sendRound(round)
+		_ = contain(&n.Log, "send heartbeats", func() { n.sendRound(n.nextRound(rng)) })
 		select {
 		case <-ctx.Done():
 			return
@@ -161,6 +157,16 @@
 	}
 }
 
+// nextRound returns the heartbeats of the next round.
+func (n *Node) nextRound(rng *rand.Rand) []ffpartner.Heartbeat {
+	now := time.Now()
+	n.Peers.Forget(now)
+	hearers := n.hearers()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.schedule.Next(hearers, n.DataCentre, now, rng)
+}
+
 // heartbeat returns a heartbeat to a peer that gets the next one after every.
 func (n *Node) heartbeat(every time.Duration) Heartbeat {
 	w := n.State.Snapshot()
@@ -186,13 +192,18 @@
 
 // send sends a heartbeat to each of vms, outside of the rounds.
 func (n *Node) send(vms []netip.Addr) {
-	round := make([]ffpartner.Heartbeat, 0, len(vms))
+	n.sendRound(n.unplanned(vms))
+}
+
+// unplanned returns heartbeats to vms outside of the rounds.
+func (n *Node) unplanned(vms []netip.Addr) []ffpartner.Heartbeat {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	round := make([]ffpartner.Heartbeat, 0, len(vms))
 	for _, vm := range vms {
 		round = append(round, ffpartner.Heartbeat{VM: vm, Every: n.schedule.Planned(vm)})
 	}
-	n.mu.Unlock()
-	n.sendRound(round)
+	return round
 }
 
 // sendRound sends heartbeats, and encodes those with the same plan once.
--- a/internal/ffgossip/pull.go
+++ b/internal/ffgossip/pull.go
@@ -22,7 +22,7 @@
 		case <-ctx.Done():
 			return
 		case vm := <-n.pulls:
-			n.pullFrom(ctx, vm)
+			_ = contain(&n.Log, "pull a snapshot", func() { n.pullFrom(ctx, vm) })
 		}
 	}
 }
--- a/internal/ffgossip/reader.go
+++ b/internal/ffgossip/reader.go
@@ -83,7 +83,9 @@
 			return
 		case <-timer.C:
 		}
-		r.step(ctx)
+		if err := contain(&r.Log, "read store", func() { r.step(ctx) }); err != nil {
+			r.recordResult(err)
+		}
 		timer.Reset(min(max(time.Until(r.next(time.Now())), minCheckInterval), maxCheckInterval))
 	}
 }
--- a/internal/ffgossip/receive.go
+++ b/internal/ffgossip/receive.go
@@ -22,7 +22,7 @@
 			}
 			continue
 		}
-		n.receive(from.Addr().Unmap(), buffer[:size])
+		_ = contain(&n.Log, "receive a heartbeat", func() { n.receive(from.Addr().Unmap(), buffer[:size]) })
 	}
 }
 
