--- a/internal/ffpipeline/writer.go
+++ b/internal/ffpipeline/writer.go
@@ -9,7 +9,7 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// flushSize is the size of a buffered response body, in bytes, from which it is
+// flushSize is the size of the unsent part of a response body, in bytes, from which it is
 // flushed.
 const flushSize = 64 << 10
 
@@ -25,8 +25,8 @@
 	e      *exchange
 	header http.Header
 	status int
-	// buffered is the part of the body that has not been sent.
-	buffered bytes.Buffer
+	// body is what has not been sent of the body.
+	body unsent
 	// length is the Content-Length that the handler set, -1 if none; written counts
 	// the bytes of the body that it wrote.
 	length  int64
@@ -63,8 +63,8 @@
 	if w.length >= 0 && w.written > w.length {
 		return 0, http.ErrContentLength
 	}
-	w.buffered.Write(p)
-	n := w.buffered.Len()
+	w.body.write(p)
+	n := w.body.length
 	switch {
 	case n < flushSize, !w.sent && !w.e.conn.mayStream(w.e) && w.held.grow(w.e.conn.server.Memory, n):
 		return len(p), nil
@@ -81,12 +81,12 @@
 		return false
 	}
 	clear(w.header)
-	w.status, w.written, w.buffered = 0, 0, bytes.Buffer{}
+	w.status, w.written, w.body = 0, 0, unsent{}
 	w.held.release()
 	return true
 }
 
-// FlushError sends the buffered part of the response, once the earlier responses
+// FlushError sends what is unsent of the response, once the earlier responses
 // have been sent.
 func (w *writer) FlushError() error {
 	w.WriteHeader(http.StatusOK)
@@ -99,8 +99,7 @@
 		w.chunked = w.length < 0 && w.mayHaveBody() && w.e.request.ProtoAtLeast(1, 1)
 		w.appendHead(&out)
 	}
-	w.appendBody(&out)
-	return w.send(&out)
+	return w.sendBody(&out, false)
 }
 
 // SetReadDeadline sets the deadline for reading the request body.
@@ -139,11 +138,7 @@
 		}
 		w.appendHead(&out)
 	}
-	w.appendBody(&out)
-	if w.chunked {
-		out.WriteString(lastChunk)
-	}
-	if err := w.send(&out); err != nil {
+	if err := w.sendBody(&out, true); err != nil {
 		return err
 	}
 	if w.length >= 0 && w.mayHaveBody() && w.written < w.length {
@@ -169,25 +164,41 @@
 	out.WriteString("\r\n")
 }
 
-// appendBody appends the buffered part of the body to out.
-func (w *writer) appendBody(out *bytes.Buffer) {
-	if w.buffered.Len() == 0 {
-		return
-	}
-	if w.chunked {
-		out.WriteString(strconv.FormatInt(int64(w.buffered.Len()), 16) + "\r\n")
+// sendBody sends out, which may hold the head, and the unsent part of the body; last reports
+// whether that is the end of the body.
+func (w *writer) sendBody(out *bytes.Buffer, last bool) error {
+	framed := w.chunked && w.body.length > 0
+	if framed {
+		out.WriteString(strconv.FormatInt(int64(w.body.length), 16) + "\r\n")
+	}
+	for _, piece := range w.body.pieces {
+		out.Write(piece)
+		if out.Len() < flushSize {
+			continue
+		}
+		if err := w.send(out); err != nil {
+			return err
+		}
 	}
-	out.Write(w.buffered.Bytes())
-	if w.chunked {
+	w.body = unsent{}
+	if framed {
 		out.WriteString("\r\n")
 	}
-	w.buffered.Reset()
+	if w.chunked && last {
+		out.WriteString(lastChunk)
+	}
+	return w.send(out)
 }
 
+// send sends out and empties it.
 func (w *writer) send(out *bytes.Buffer) error {
+	if out.Len() == 0 {
+		return nil
+	}
 	if _, err := w.e.conn.net.Write(out.Bytes()); err != nil {
 		return &Error{Op: "answer", Kind: KindClosed, Err: err}
 	}
+	out.Reset()
 	return nil
 }
 
