A daemon without free descriptors goes on

Change: unless the port was closed, accepting is tried again after 20 ms, idle client connections are closed meanwhile, and the first failure of a series is logged.

Red before: TestNoDescriptorsLeft, a later connection got no answer. After: green.

--- a/internal/ffpipeline/server.go
+++ b/internal/ffpipeline/server.go
@@ -1,6 +1,7 @@
 package ffpipeline
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -43,17 +44,40 @@
 	closed bool
 }
 
-// Serve serves the connections of l until Accept fails, and returns that error.
+// acceptPause is the time after which accepting a connection is tried again when it failed.
+const acceptPause = 20 * time.Millisecond
+
+// Serve serves the connections of l until l is closed, and returns net.ErrClosed then. If
+// connections cannot be accepted for another reason, such as no descriptors left, it closes
+// the idle ones and tries again.
 func (s *Server) Serve(l net.Listener) error {
+	failures := 0
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return err
+		case err != nil:
+			failures++
+			s.acceptFailed(err, failures)
+			continue
+		case failures > 0:
+			s.Log.Info().Int("failures", failures).Msg("connections are accepted again")
+			failures = 0
 		}
 		s.start(c)
 	}
 }
 
+// acceptFailed handles a failure to accept a connection, and logs the first one of a series.
+func (s *Server) acceptFailed(err error, failures int) {
+	if failures == 1 {
+		s.Log.Warn().Err(err).Msg("connection not accepted")
+	}
+	s.CloseIdle()
+	time.Sleep(acceptPause)
+}
+
 func (s *Server) start(n net.Conn) {
 	c := newConn(s, n)
 	s.mu.Lock()
