A request target that cannot be parsed gets 400, and ends no neighbour

The review saw it by hand: such a request closed the connection without an answer and cut the requests before it. url.Error is a net.Error, so it was taken for a lost connection.

Red before: testdata/bad-target.http in TestMatchesNetHTTP, no answers instead of 200 and 400. After: green.

--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -182,9 +182,13 @@
 
 func (c *conn) headError(err error) error {
 	var failed net.Error
+	var target *url.Error
 	switch {
 	case c.head.N <= 0:
 		return &Error{Op: "read a request", Kind: KindTooLarge, Err: err}
+	case errors.As(err, &target):
+		// It is a net.Error too, though the connection has not failed.
+		return &Error{Op: "read a request", Kind: KindMalformed, Err: err}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &failed):
 		return &Error{Op: "read a request", Kind: KindClosed, Err: err}
 	}
