A client that leaves a full connection is noticed

The review saw it by reading: behind 16 unanswered requests a connection was not read any more, and targets worked on for clients that had left.

Change: the connection waits for the next byte before it waits for room.

Red before: TestFullConnectionDisconnects, 0 of 16 requests learned of it.

--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -74,9 +74,10 @@
 	c.drain()
 }
 
-// awaitRequest waits for the first byte of the next request.
+// awaitRequest waits for the first byte of the next request, and until fewer than
+// maxUnanswered are unanswered. It waits for the byte first, so that it learns if the client
+// disconnects meanwhile.
 func (c *conn) awaitRequest() bool {
-	c.awaitCapacity()
 	if !c.prepareRead() {
 		return false
 	}
@@ -87,16 +88,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
-	return !c.aborted && !c.lastChosen
-}
-
-// awaitCapacity waits until fewer than maxUnanswered requests are unanswered.
-func (c *conn) awaitCapacity() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for len(c.unanswered) >= maxUnanswered && !c.aborted {
 		c.changed.Wait()
 	}
+	return !c.aborted && !c.lastChosen
 }
 
 // prepareRead sets the size limit of the next request head, and the idle timeout
--- a/internal/ffpipeline/server_test.go
+++ b/internal/ffpipeline/server_test.go
@@ -186,6 +186,21 @@
 	waitFor(t, func() bool { return h.disconnected.Load() == 2 })
 }
 
+// TestFullConnectionDisconnects guards against requests that go on when their client has
+// left, on a connection with as many unanswered ones as are read.
+func TestFullConnectionDisconnects(t *testing.T) {
+	const unanswered = 16
+	h := &handler{}
+	c := dial(t, serve(t, &ffpipeline.Server{Handler: h, MayRunAhead: ahead}))
+	send(t, c, strings.Repeat(get("/slow/1"), unanswered))
+	waitFor(t, func() bool { return h.running.Load() == unanswered })
+	_ = c.Close()
+	waitFor(t, func() bool { return h.running.Load() == 0 })
+	if n := h.disconnected.Load(); n != unanswered {
+		t.Errorf("%d of %d requests learned that their client has left", n, unanswered)
+	}
+}
+
 // TestLimits checks that slow heads and idle connections are closed and that a long
 // head is refused.
 func TestLimits(t *testing.T) {
