A held response whose turn has come is sent, whatever its length

Found in reading the diff: a response of unknown length that was held, and crossed 4 MiB with the first part it wrote in its turn, was given up with 502 though nothing behind it could be lost.

Red before: TestHeldResponseOutgrowsMemory. After: green.

--- a/internal/ffpipeline/held_test.go
+++ b/internal/ffpipeline/held_test.go
@@ -101,3 +101,36 @@
 		}
 	}
 }
+
+// TestHeldResponseOutgrowsMemory guards against a long response that is given up for its
+// length although its turn has come and nothing behind it can be lost.
+func TestHeldResponseOutgrowsMemory(t *testing.T) {
+	const part, parts = 96 << 10, 60
+	memory := &countedMemory{}
+	memory.limit.Store(16 << 20)
+	inTurn := make(chan struct{})
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			<-inTurn
+			return
+		}
+		for n := range parts {
+			if n == (4<<20)/part {
+				// The next part crosses what may be held.
+				close(inTurn)
+				<-time.After(work)
+			}
+			if _, err := w.Write(make([]byte, part)); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	})
+	c := dial(t, serve(t, &ffpipeline.Server{Handler: h, MayRunAhead: aheadAll, Memory: memory}))
+	send(t, c, get("/first")+get("/second"))
+	r := bufio.NewReader(c)
+	for n, length := range []int{0, part * parts} {
+		if status, body, _ := receive(t, r); status != http.StatusOK || len(body) != length {
+			t.Errorf("response %d is %d with %d bytes", n, status, len(body))
+		}
+	}
+}
--- a/internal/ffpipeline/writer.go
+++ b/internal/ffpipeline/writer.go
@@ -66,9 +66,13 @@
 	w.body.write(p)
 	n := w.body.length
 	switch {
-	case n < flushSize, !w.sent && !w.e.conn.mayStream(w.e) && w.held.grow(w.e.conn.server.Memory, n):
+	case n < flushSize:
 		return len(p), nil
-	case !w.sent && n > maxHeld && w.length < 0:
+	case w.sent || w.e.conn.mayStream(w.e):
+		return len(p), w.FlushError()
+	case w.held.grow(w.e.conn.server.Memory, n):
+		return len(p), nil
+	case n > maxHeld && w.length < 0:
 		return 0, &Error{Op: "answer", Kind: KindTooLong, Err: merry.Errorf("%d bytes, the length is not known", n)}
 	}
 	return len(p), w.FlushError()
