A crowded target costs more, one that is half used costs nothing

At the worst load calls waited at fast targets whose slots were nearly all in use, while slow ones had free slots: what an entry knows is up to half a second old.

Change: the cost of crowding is the fourth power of the utilization times the service time, in place of half of its square.

--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -1,6 +1,7 @@
 package ffoutbound
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -21,9 +22,6 @@
 	crossDataCentreByteCost = 8 * time.Microsecond
 	// failingCost is the additional cost of a target that fails every call.
 	failingCost = 600 * time.Millisecond
-	// utilizationWeight is the part of the service time added to the cost of a target
-	// whose slots are all in use.
-	utilizationWeight = 0.5
 	// costJitter is the largest fraction of a cost that is randomly added to it, so that
 	// entries with the same data do not all choose the same target.
 	costJitter = 0.15
@@ -187,13 +185,18 @@
 	}
 	wait = time.Duration(max(s.outstanding()+1-slots, 0)) * typical / time.Duration(slots)
 	wait = max(wait, pacedWait(t, s))
-	utilization := s.utilization(t)
-	cost = wait + typical + time.Duration(utilizationWeight*utilization*utilization*float64(typical))
+	cost = wait + typical + time.Duration(crowding(s.utilization(t))*float64(typical))
 	cost += time.Duration(float64(s.load.Failing) * float64(failingCost))
 	cost = time.Duration(float64(cost) * (1 + costJitter*rand.Float64()))
 	return cost + p.networkCost(t, c) + p.transferTime(t, s, c) + p.unavailabilityCost(t, s, now), wait
 }
 
+// crowding estimates how long a call waits at a target with a share of its slots in use, as a
+// multiple of the service time. What an entry knows may be half a second old: by then a
+// target with half of its slots in use rarely has no free one, and one with nearly all
+// mostly has none.
+func crowding(utilization float64) float64 { return math.Pow(utilization, 4) }
+
 // pacedWait estimates how long a call to t waits for its turn under the limit that the
 // target named.
 func pacedWait(t fffleet.Target, s *vmState) time.Duration {
