--- a/internal/ffload/meshsoak.go
+++ b/internal/ffload/meshsoak.go
@@ -58,10 +58,10 @@
 		}
 		report := newMeshReport(rec)
 		broken += len(report.Broken)
-		if err := c.saveRecord(rec, report); err != nil {
+		if err := json.NewEncoder(out).Encode(report); err != nil {
 			return err
 		}
-		if err := json.NewEncoder(out).Encode(report); err != nil {
+		if err := c.saveRecord(rec, report); err != nil {
 			return err
 		}
 	}
@@ -71,8 +71,8 @@
 	return nil
 }
 
-// saveRecord writes the record of a seed that broke a promise to the directory Keep,
-// if one is set.
+// saveRecord writes the record of a seed that broke a promise to the directory Keep, which
+// it creates, if one is set.
 func (c *MeshSoak) saveRecord(rec *ffmeshsoak.Record, report meshReport) error {
 	if c.Keep == "" || len(report.Broken) == 0 {
 		return nil
@@ -81,6 +81,9 @@
 	if err != nil {
 		return &Error{Op: "save record", Kind: KindFile, Err: err}
 	}
+	if err := os.MkdirAll(c.Keep, 0o700); err != nil {
+		return &Error{Op: "save record", Kind: KindFile, Err: err}
+	}
 	if err := os.WriteFile(filepath.Join(c.Keep, fmt.Sprintf("seed-%d.json", rec.Seed)), b, 0o600); err != nil {
 		return &Error{Op: "save record", Kind: KindFile, Err: err}
 	}
