A new connection is not closed for want of descriptors

Cause: at a failure to accept, every connection that waits for a request was closed. Change: only those on which a request has been answered.

--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -46,6 +46,8 @@
 	streaming bool
 	// aborted reports that the connection has been aborted.
 	aborted bool
+	// served reports that a request has been answered.
+	served bool
 	// waiting reports that the reader waits for the first byte of a request.
 	waiting bool
 }
@@ -156,6 +158,16 @@
 	}
 }
 
+// closeServed does the same if a request has been answered before. The first request of a
+// new connection may be on its way.
+func (c *conn) closeServed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.served && c.waiting && len(c.unanswered) == 0 {
+		c.abortLocked()
+	}
+}
+
 // readHead reads and validates the head of a request.
 func (c *conn) readHead() (*http.Request, error) {
 	c.setReadDeadline(true, c.server.limits().ReadHeaderTimeout)
@@ -289,7 +301,7 @@
 		return
 	}
 	c.unanswered = c.unanswered[1:]
-	c.streaming = false
+	c.streaming, c.served = false, true
 	if len(c.unanswered) > 0 {
 		close(c.unanswered[0].turn)
 	} else if c.waiting {
--- a/internal/ffpipeline/server.go
+++ b/internal/ffpipeline/server.go
@@ -74,7 +74,9 @@
 	if failures == 1 {
 		s.Log.Warn().Err(err).Msg("connection not accepted")
 	}
-	s.CloseIdle()
+	for _, c := range s.open() {
+		c.closeServed()
+	}
 	time.Sleep(acceptPause)
 }
 
