Evacuated data centres and cold targets are known to all daemons

Change: an evacuation is part of the list of targets, so it has its order of revisions, its deltas, its digest and its behaviour in outages and restored stores: no further message. Entries use no target of an evacuated data centre. That a target is cold counts as content only where a configuration limits cold targets, so other deployments exchange as much as before.

--- a/internal/fffleet/fleet.go
+++ b/internal/fffleet/fleet.go
@@ -15,9 +15,11 @@
 type Fleet struct {
 	// targets is sorted by ID.
 	targets []*Target
-	serving map[string][]Target
-	latest  map[netip.AddrPort]*Target
-	digest  uint64
+	// evacuated holds the names of the data centres whose targets get no calls, sorted.
+	evacuated []string
+	serving   map[string][]Target
+	latest    map[netip.AddrPort]*Target
+	digest    uint64
 }
 
 // New returns a fleet of the given targets.
@@ -32,18 +34,22 @@
 		sorted = append(sorted, t)
 	}
 	slices.SortFunc(sorted, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
-	return newFleet(sorted)
+	return newFleet(sorted, nil)
 }
 
-// newFleet returns a fleet of targets, which are sorted by ID.
-func newFleet(targets []*Target) Fleet {
-	f := Fleet{targets: targets}
+// newFleet returns a fleet of targets, which are sorted by ID, with some data centres
+// evacuated.
+func newFleet(targets []*Target, evacuated []string) Fleet {
+	f := Fleet{targets: targets, evacuated: evacuated}
 	h := xxhash.New()
 	var line []byte
 	for _, t := range targets {
 		line = t.appendContent(line[:0])
 		_, _ = h.Write(line)
 	}
+	for _, name := range evacuated {
+		_, _ = h.WriteString("evacuated|" + name + "\n")
+	}
 	f.digest = h.Sum64()
 	f.index()
 	return f
@@ -58,11 +64,16 @@
 	b = append(append(b, t.DataCentre...), '|')
 	b = append(strconv.AppendInt(b, int64(t.Slots), 10), '|')
 	b = append(append(b, t.State.String()...), '|')
+	if t.Cold {
+		b = append(b, "cold|"...)
+	}
 	return append(strconv.AppendInt(b, t.StartMillis, 10), '\n')
 }
 
 // WithoutIndex returns f for comparisons alone: Serving and At find nothing.
-func (f Fleet) WithoutIndex() Fleet { return Fleet{targets: f.targets, digest: f.digest} }
+func (f Fleet) WithoutIndex() Fleet {
+	return Fleet{targets: f.targets, evacuated: f.evacuated, digest: f.digest}
+}
 
 // Digest identifies the content of f, ignoring the targets' heartbeats.
 func (f Fleet) Digest() uint64 { return f.digest }
@@ -123,9 +134,9 @@
 		}
 	}
 	if !changed {
-		return Fleet{targets: next, serving: f.serving, latest: f.latest, digest: f.digest}
+		return Fleet{targets: next, evacuated: f.evacuated, serving: f.serving, latest: f.latest, digest: f.digest}
 	}
-	return newFleet(next)
+	return newFleet(next, f.evacuated)
 }
 
 // Union returns f with those of the added targets whose IDs it lacks.
--- a/internal/fffleet/serving.go
+++ b/internal/fffleet/serving.go
@@ -41,7 +41,7 @@
 	}
 	f.serving = make(map[string][]Target)
 	for _, t := range f.targets {
-		if t.State == StateReady && f.latest[t.Address] == t {
+		if t.State == StateReady && f.latest[t.Address] == t && !f.IsEvacuated(t.DataCentre) {
 			f.serving[t.Service] = append(f.serving[t.Service], *t)
 		}
 	}
--- a/internal/fffleet/target.go
+++ b/internal/fffleet/target.go
@@ -24,6 +24,8 @@
 	State      State          `json:"state"`
 	// StartMillis is the Unix time of the process start, in milliseconds; 0 when unknown.
 	StartMillis int64 `json:"born,omitempty"`
+	// Cold reports whether the target said that it is cold, so that it takes fewer calls.
+	Cold bool `json:"cold,omitempty"`
 	// Sequence counts the heartbeats since the start.
 	Sequence int64 `json:"sequence"`
 }
@@ -31,6 +33,9 @@
 // VM returns the address of the target's VM.
 func (t Target) VM() netip.Addr { return t.Address.Addr() }
 
+// SameRun reports whether t and u are the same run of a target.
+func (t Target) SameRun(u Target) bool { return t.ID == u.ID && t.StartMillis == u.StartMillis }
+
 // olderThan reports whether t is an older entry of the same target than u. Entries
 // without a start time cannot be compared.
 func (t Target) olderThan(u Target) bool {
--- a/internal/ffgossip/content.go
+++ b/internal/ffgossip/content.go
@@ -48,6 +48,8 @@
 	// Targets is the complete list of targets, TargetDelta the changes to the peer's.
 	Targets     []fffleet.Target `json:"targets,omitempty"`
 	TargetDelta *fffleet.Delta   `json:"targetDelta,omitempty"`
+	// Evacuated holds all data centres whose targets get no calls.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // Query parameters with which a peer states what it holds.
@@ -140,7 +142,7 @@
 func (h *ContentHandler) update(query url.Values) update {
 	current := h.State.Snapshot()
 	revision, fleet := h.State.Listed()
-	c := update{Revision: revision}
+	c := update{Revision: revision, Evacuated: fleet.Evacuated()}
 	c.Targets = fleet.All()
 	if digest, err := strconv.ParseUint(query.Get(targetsParameter), 16, 64); err == nil {
 		if base, ok := h.State.recentFleet(digest); ok {
@@ -162,9 +164,9 @@
 // fleet returns the peer's known targets after c.
 func (c *update) fleet(known fffleet.Fleet) fffleet.Fleet {
 	if c.TargetDelta != nil {
-		return known.With(c.TargetDelta.Changes())
+		return known.With(c.TargetDelta.Changes()).WithEvacuated(c.Evacuated)
 	}
-	return replaceFleet(known, c.Targets)
+	return replaceFleet(known, c.Targets).WithEvacuated(c.Evacuated)
 }
 
 // decodeUpdate decodes an update sent to a peer that holds table. It applies a delta of
--- a/internal/ffgossip/read.go
+++ b/internal/ffgossip/read.go
@@ -62,7 +62,7 @@
 	}
 	r.State.Merge(Reading{
 		From: "store", Revision: full.Revision, ConfirmedAt: started, Table: full.Table.WithRoutesOf(r.State.Table()),
-		Fleet: replaceFleet(known, full.Targets), RetainUntil: r.retainUntil(),
+		Fleet: replaceFleet(known, full.Targets).WithEvacuated(full.Evacuated), RetainUntil: r.retainUntil(),
 	})
 	r.lastFullRead = started
 	r.needFullRead = false
@@ -93,13 +93,13 @@
 		return r.readFull(ctx, started, progress)
 	}
 	confirmed := started
-	if changes.Table == nil && len(changes.Targets) == 0 {
+	if changes.Table == nil && len(changes.Targets) == 0 && len(changes.Evacuations) == 0 {
 		// A watch without changes confirms the content as of the end of its wait.
 		confirmed = started.Add(min(watchWait, time.Since(started)))
 	}
 	r.State.Merge(Reading{
 		From: "store", Revision: changes.Revision, ConfirmedAt: confirmed, Table: changes.Table.WithRoutesOf(r.State.Table()),
-		Fleet: fleet.With(changes.Targets), RetainUntil: r.retainUntil(),
+		Fleet: fleet.With(changes.Targets).WithEvacuations(changes.Evacuations), RetainUntil: r.retainUntil(),
 	})
 	return nil
 }
--- a/internal/ffgossip/source.go
+++ b/internal/ffgossip/source.go
@@ -27,6 +27,8 @@
 	// Table is nil when there is no valid configuration.
 	Table   *ffroute.Table
 	Targets []fffleet.Target
+	// Evacuated holds the data centres whose targets are to get no calls.
+	Evacuated []string
 }
 
 // Changes holds the changes up to a revision.
@@ -35,4 +37,6 @@
 	// Table is the newest configuration among the changes, or nil.
 	Table   *ffroute.Table
 	Targets []fffleet.Change
+	// Evacuations holds the evacuations that were started and ended, in order.
+	Evacuations []fffleet.Evacuation
 }
--- a/internal/ffgossip/state.go
+++ b/internal/ffgossip/state.go
@@ -85,6 +85,9 @@
 	if r.ConfirmedAt.Before(old.ConfirmedAt) {
 		next.ConfirmedAt = old.ConfirmedAt
 	}
+	if !next.Table.LimitsCold() {
+		r.Fleet = r.Fleet.WithoutCold()
+	}
 	newEpoch := r.Revision.Epoch != old.Revision.Epoch
 	s.recordDeparted(r.Fleet, newEpoch)
 	fleet := r.Fleet.WithDeparted(s.departedBefore)
@@ -152,6 +155,10 @@
 	s.Log.Info().Str("from", from).Stringer("revision", next.Revision).Uint64("version", next.Version()).
 		Int("targets", next.Fleet.Len()).Int("held", len(s.held)).Strs("withdrawn", next.Fleet.Withdrawn(old.Fleet)).
 		Dur("age", time.Since(next.ConfirmedAt)).Msg("word changed")
+	if before, now := old.Fleet.Evacuated(), next.Fleet.Evacuated(); !slices.Equal(before, now) {
+		s.Log.Info().Str("from", from).Stringer("revision", next.Revision).Strs("before", before).
+			Strs("evacuated", now).Msg("evacuated data centres changed")
+	}
 	if s.OnChange != nil {
 		s.OnChange(next)
 	}
--- a/internal/ffroute/route.go
+++ b/internal/ffroute/route.go
@@ -43,4 +43,8 @@
 	// MaxConnections is the number of connections that a target accepts from all
 	// callers together.
 	MaxConnections int `json:"maxConnections"`
+	// ColdTime is how long a target is cold after its start, and ColdPerSecond the number
+	// of calls per second that it takes meanwhile; 0 if it takes any.
+	ColdTime      time.Duration `json:"coldTime,omitempty"`
+	ColdPerSecond float64       `json:"coldPerSecond,omitempty"`
 }
--- a/internal/ffroute/table.go
+++ b/internal/ffroute/table.go
@@ -45,6 +45,12 @@
 	return nil
 }
 
+// LimitsCold reports whether the targets of some service take fewer calls while cold. t may
+// be nil.
+func (t *Table) LimitsCold() bool {
+	return t != nil && slices.ContainsFunc(t.Services, func(s Service) bool { return s.ColdPerSecond > 0 })
+}
+
 // Service returns the service with the given name, or the zero value if there is none.
 func (t *Table) Service(name string) Service {
 	for _, s := range t.Services {
