A gate paces its cold target and refuses when it is evacuated

Change: the gate takes its target for cold at a new run, after a connection that could not be made, when it is listed as cold again and after an evacuation; the first call then asks the target's health check for how long. Entries hear the limit with the load they hear anyway. An evacuation refuses at once also what waits. Gauges fireflyfall_gate_limit and fireflyfall_evacuated.

--- a/internal/ffinbound/admission.go
+++ b/internal/ffinbound/admission.go
@@ -74,8 +74,10 @@
 		return target, newRefusal(ffmesh.ReasonMisdirected, 0)
 	case target.State == fffleet.StateDraining:
 		return target, newRefusal(ffmesh.ReasonDraining, 0)
+	case g.Target.Evacuated():
+		return target, newRefusal(ffmesh.ReasonEvacuated, 0)
 	}
-	g.updateTarget(target)
+	g.updateTarget(target, time.Now())
 	return target, nil
 }
 
@@ -83,23 +85,33 @@
 // caller holds the lock.
 func (g *Gate) targetAccepts() bool {
 	target, ok := g.Target.LocalTarget()
-	return ok && target.ID == g.targetID && target.State != fffleet.StateDraining
+	return ok && target.ID == g.target.ID && target.State != fffleet.StateDraining && !g.Target.Evacuated()
 }
 
-// updateTarget stores the slots of t and, if t is a new process, discards the
+// updateTarget stores the listed entry t of the target. If it is a new run, it discards the
 // statistics and the connections of the previous one. The caller holds the lock.
-func (g *Gate) updateTarget(t fffleet.Target) {
+func (g *Gate) updateTarget(t fffleet.Target, now time.Time) {
 	g.slots = t.Slots
 	if g.slots <= 0 {
 		g.slots = defaultSlots
 	}
-	if g.targetID == t.ID {
+	g.warmup = g.warmup.WithTolerance(g.Target.Tolerance())
+	last := g.target
+	g.target = t
+	switch {
+	case last.SameRun(t):
+		g.updateColdness(last, t, now)
 		return
+	case last.ID == t.ID:
+		// The connections of the previous run are broken, and its statistics still tell
+		// something.
+	default:
+		g.refuseWaiting()
+		g.stats.reset()
+		g.pacer = ffpace.Pacer{}
+		g.Pool.CloseIdle()
 	}
-	g.targetID = t.ID
-	g.stats.reset()
-	g.pacer = ffpace.Pacer{}
-	g.Pool.CloseIdle()
+	g.doubtWarmth("new run", now)
 }
 
 // enqueue queues a call, or refuses it if it cannot finish in time.
@@ -113,6 +125,7 @@
 		return nil, refusal
 	}
 	g.queue.push(w)
+	g.askIfDoubtful(now)
 	g.dispatch(now)
 	return w, nil
 }
@@ -145,7 +158,7 @@
 // limit. The caller holds the lock.
 func (g *Gate) queueDelay(w *waiter, now time.Time) time.Duration {
 	calls, work := g.queue.ahead(w, now)
-	paced := g.pacer.NextAt(calls, now).Sub(now)
+	paced := g.nextAt(calls, now).Sub(now)
 	if g.running < g.slots && len(g.queue.waiting) == 0 {
 		return paced
 	}
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -24,6 +24,12 @@
 	MarkLeaving(t fffleet.Target)
 	// MarkReplaced records that another target answers at the address of t.
 	MarkReplaced(t fffleet.Target)
+	// Evacuated reports whether the target gets no calls by order of the operators.
+	Evacuated() bool
+	// Tolerance returns what the target takes while it is cold, and HealthPath the path of
+	// its health check.
+	Tolerance() ffpace.Tolerance
+	HealthPath() string
 }
 
 // Gate controls the calls to the target on this VM.
@@ -35,14 +41,19 @@
 	Intake *Intake
 	Log    zerolog.Logger
 
-	mu       sync.Mutex
-	targetID string
-	slots    int
-	running  int
-	queue    queue
-	runs     runs
-	stats    targetStats
-	pacer    ffpace.Pacer
+	mu sync.Mutex
+	// target is the run for which calls wait, as it was last listed.
+	target    fffleet.Target
+	evacuated bool
+	slots     int
+	running   int
+	queue     queue
+	runs      runs
+	stats     targetStats
+	pacer     ffpace.Pacer
+	warmup    ffpace.Warmup
+	// asking reports whether the target is being asked how long it stays cold.
+	asking bool
 	// wake dispatches again when a call may be sent under the target's limit.
 	wake   *time.Timer
 	closed bool
--- a/internal/ffinbound/gate_test.go
+++ b/internal/ffinbound/gate_test.go
@@ -13,6 +13,7 @@
 	"fireflyfall.dev/fireflyfall/internal/ffhop"
 	"fireflyfall.dev/fireflyfall/internal/ffinbound"
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
+	"fireflyfall.dev/fireflyfall/internal/ffpace"
 )
 
 // dialect sends the ID of a call in the header Priority and accepts every response.
@@ -30,6 +31,9 @@
 func (s staticTarget) LocalTarget() (fffleet.Target, bool) { return s.target, true }
 func (s staticTarget) MarkLeaving(fffleet.Target)          {}
 func (s staticTarget) MarkReplaced(fffleet.Target)         {}
+func (s staticTarget) Evacuated() bool                     { return false }
+func (s staticTarget) Tolerance() ffpace.Tolerance         { return ffpace.Tolerance{} }
+func (s staticTarget) HealthPath() string                  { return "" }
 
 // newGate returns a gate for a target that spends work on each call. order receives the
 // IDs of the calls, and maxRunning the largest number in progress at once.
--- a/internal/ffinbound/leaving_test.go
+++ b/internal/ffinbound/leaving_test.go
@@ -14,12 +14,12 @@
 
 // leavingTarget is a target that is draining once it left.
 type leavingTarget struct {
-	fffleet.Target
+	staticTarget
 	left *atomic.Bool
 }
 
 func (l leavingTarget) LocalTarget() (fffleet.Target, bool) {
-	t := l.Target
+	t := l.target
 	if l.left.Load() {
 		t.State = fffleet.StateDraining
 	}
@@ -28,8 +28,6 @@
 
 func (l leavingTarget) MarkLeaving(fffleet.Target) { l.left.Store(true) }
 
-func (l leavingTarget) MarkReplaced(fffleet.Target) {}
-
 // TestAcceptedCallsAfterLeaving guards against calls that were accepted before the news
 // that the target is leaving and sent to it afterwards.
 func TestAcceptedCallsAfterLeaving(t *testing.T) {
@@ -55,7 +53,7 @@
 			g, order, _ := newGate(t, 1, work)
 			target, _ := g.Target.LocalTarget()
 			left := new(atomic.Bool)
-			g.Target = leavingTarget{Target: target, left: left}
+			g.Target = leavingTarget{staticTarget: staticTarget{target}, left: left}
 			sentBefore := setUp(g, left)
 			r := g.Do(context.Background(), newCall("late", 1, time.Second, 2*time.Second))
 			if r.Outcome != ffmesh.OutcomeNotRun || r.Reason != ffmesh.ReasonDraining || r.Arrived {
--- a/internal/ffinbound/notice.go
+++ b/internal/ffinbound/notice.go
@@ -18,11 +18,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case g.targetID != t.ID:
+	case g.target.ID != t.ID:
 	case err != nil:
-		g.logInvalidNotice(c, err)
+		g.logInvalidNotice(c.ID, err)
 	default:
 		g.updateLimit(t, n, sentAt)
+		g.updateWarmup(n, sentAt)
 	}
 }
 
@@ -47,11 +48,11 @@
 
 // logInvalidNotice logs that a part of what the target says of itself is ignored. The
 // caller holds the lock.
-func (g *Gate) logInvalidNotice(c *ffmesh.Call, err error) {
+func (g *Gate) logInvalidNotice(request string, err error) {
 	now := time.Now()
 	if now.Before(g.quietUntil) {
 		return
 	}
 	g.quietUntil = now.Add(invalidNoticeInterval)
-	g.Log.Warn().Err(err).Str("request", c.ID).Str("target", g.targetID).Msg("invalid notice of the target ignored")
+	g.Log.Warn().Err(err).Str("request", request).Str("target", g.target.ID).Msg("invalid notice of the target ignored")
 }
--- a/internal/ffinbound/send.go
+++ b/internal/ffinbound/send.go
@@ -87,6 +87,7 @@
 
 // notSent returns the reply to a call of which no byte was sent to the target.
 func (g *Gate) notSent(ctx context.Context, c *ffmesh.Call, reason ffmesh.Reason, err error) *ffmesh.Reply {
+	g.connectionFailed(ctx, reason)
 	if ctx.Err() != nil {
 		reason = ffmesh.ReasonCanceled
 	}
--- a/internal/ffinbound/slots.go
+++ b/internal/ffinbound/slots.go
@@ -16,7 +16,7 @@
 		return
 	}
 	for g.running < g.slots && len(g.queue.waiting) > 0 {
-		if at := g.pacer.NextAt(0, now); at.After(now) {
+		if at := g.nextAt(0, now); at.After(now) {
 			g.wakeAt(at)
 			return
 		}
@@ -25,12 +25,22 @@
 			w.granted <- false
 			continue
 		}
-		g.pacer = g.pacer.WithCall(now)
+		g.pacer, g.warmup = g.pacer.WithCall(now), g.warmup.WithCall(now)
 		g.running++
 		w.granted <- true
 	}
 }
 
+// nextAt returns when a call with a number of others ahead of it has its turn under the
+// limits of the target. The caller holds the lock.
+func (g *Gate) nextAt(ahead int, now time.Time) time.Time {
+	at, warm := g.pacer.NextAt(ahead, now), g.warmup.NextAt(ahead, now)
+	if warm.After(at) {
+		return warm
+	}
+	return at
+}
+
 // wakeAt lets dispatch run again at a time. The caller holds the lock.
 func (g *Gate) wakeAt(at time.Time) {
 	if g.wake == nil {
--- a/internal/ffmesh/enum_string.go
+++ b/internal/ffmesh/enum_string.go
@@ -43,11 +43,12 @@
 	_ = x[ReasonLeaving-11]
 	_ = x[ReasonSilent-12]
 	_ = x[ReasonIntake-13]
+	_ = x[ReasonEvacuated-14]
 }
 
-const _Reason_name = "nonebusydeadlinedrainingnoTargetshedmisdirectedconnectbrokenspoiledcanceledleavingsilentintake"
+const _Reason_name = "nonebusydeadlinedrainingnoTargetshedmisdirectedconnectbrokenspoiledcanceledleavingsilentintakeevacuated"
 
-var _Reason_index = [...]uint8{0, 4, 8, 16, 24, 32, 36, 47, 54, 60, 67, 75, 82, 88, 94}
+var _Reason_index = [...]uint8{0, 4, 8, 16, 24, 32, 36, 47, 54, 60, 67, 75, 82, 88, 94, 103}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/ffmesh/reply.go
+++ b/internal/ffmesh/reply.go
@@ -24,7 +24,8 @@
 type Reason int
 
 // Reasons, at the gate or on the way to it. ReasonShed is a rejection by the target
-// itself, ReasonIntake a body that this VM's link could not receive in time.
+// itself, ReasonIntake a body that this VM's link could not receive in time, and
+// ReasonEvacuated an order of the operators that the data centre gets no calls.
 const (
 	ReasonNone          Reason = iota // none
 	ReasonBusy                        // busy
@@ -40,6 +41,7 @@
 	ReasonLeaving                     // leaving
 	ReasonSilent                      // silent
 	ReasonIntake                      // intake
+	ReasonEvacuated                   // evacuated
 )
 
 // Reply is the result of a call.
@@ -111,6 +113,10 @@
 	Failing float32
 	// Closed reports whether the gate refuses all calls.
 	Closed bool
+	// Limit is the number of calls per second that the target takes now; 0 if there is no
+	// limit. Paced is how long a call of the lowest rank would wait for its turn under it.
+	Limit float32
+	Paced time.Duration
 }
 
 // Gate runs calls at one target.
--- a/internal/ffnode/metrics.go
+++ b/internal/ffnode/metrics.go
@@ -29,6 +29,8 @@
 		{"fireflyfall_gate_queued", "Calls that wait for a slot.", func() float64 { return float64(gate.Load().Queued) }},
 		{"fireflyfall_gate_service_seconds", "Mean service time of the target.", func() float64 { return gate.Load().Typical.Seconds() }},
 		{"fireflyfall_gate_intake_seconds", "Time that long bodies on their way still take.", func() float64 { return gate.Load().Intake.Seconds() }},
+		{"fireflyfall_gate_limit", "Calls per second that the target takes now; 0 without a limit.", func() float64 { return float64(gate.Load().Limit) }},
+		{"fireflyfall_evacuated", "Evacuated data centres.", func() float64 { return float64(len(state.Fleet().Evacuated())) }},
 		{"fireflyfall_repeats_left", "Repeats that the budget still has for the service that has least.", func() float64 { return budget.Remaining(time.Now()) }},
 	} {
 		all = append(all, prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.name, Help: g.help}, g.value))
--- a/internal/ffnode/node.go
+++ b/internal/ffnode/node.go
@@ -58,7 +58,7 @@
 func (n *Node) run(ctx context.Context, reloads <-chan Settings) error {
 	s := n.Settings.Load()
 	n.Log.Info().Stringer("callers", s.CallerAddress).Stringer("target", s.Target).Str("service", s.Service).Msg("start")
-	n.State.OnChange = n.updateBudget
+	n.State.OnChange = n.snapshotChanged
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serving := errgroup.WithContext(serving)
@@ -134,6 +134,12 @@
 	})
 }
 
+// snapshotChanged applies what changed in the snapshot w to this VM.
+func (n *Node) snapshotChanged(w *ffgossip.Snapshot) {
+	n.updateBudget(w)
+	n.Gate.Refresh()
+}
+
 // updateBudget adapts the retry budget to the number of targets in w.
 func (n *Node) updateBudget(w *ffgossip.Snapshot) {
 	n.Budget.Set(n.Settings.Load().RetryBudget, w.Fleet.Len(), time.Now())
--- a/internal/ffnode/settings.go
+++ b/internal/ffnode/settings.go
@@ -26,6 +26,9 @@
 	Store string
 	// RetryBudget is the retry budget of the whole fleet.
 	RetryBudget ffbudget.Config
+	// ColdRatio is the multiple of what a cold target takes a second that it may get, and
+	// ColdSlack the number of calls that may come in any second besides.
+	ColdRatio, ColdSlack float64
 	// FirstStart reports whether the whole deployment starts for the first time.
 	FirstStart bool
 	// StopGrace is the time between the request to stop and the forced end.
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -198,12 +198,16 @@
 func crowding(utilization float64) float64 { return math.Pow(utilization, 4) }
 
 // pacedWait estimates how long a call to t waits for its turn under the limit that the
-// target named.
+// target named, and under the one that its gate keeps now.
 func pacedWait(t fffleet.Target, s *vmState) time.Duration {
-	if s.limit <= 0 || s.limitOf != t.ID {
-		return 0
+	var wait time.Duration
+	if s.limit > 0 && s.limitOf == t.ID {
+		wait = time.Duration(float64(s.load.Queued+s.callsSince) / s.limit * float64(time.Second))
+	}
+	if s.load.Limit > 0 && s.load.Target == t.ID {
+		wait = max(wait, s.load.Paced+time.Duration(float64(s.callsSince)/float64(s.load.Limit)*float64(time.Second)))
 	}
-	return time.Duration(float64(s.load.Queued+s.callsSince) / s.limit * float64(time.Second))
+	return wait
 }
 
 // transferTime estimates how long it takes to send a long body to t, behind those
