A retried run makes no calls beyond the retry budget

Cause: calls of runs that are themselves retries count as retries of the service that is called, yet nothing bounded them: the entry beside the run charged them to its share and went on.

Change: the gate admits a retry only if this VM's entry still has some of the budget of the services that retried runs called here lately, after the retries that run. No message is needed, since these calls begin at the entry beside the run. So the sum over all entries is bounded by their shares.

--- a/internal/ffbudget/budget.go
+++ b/internal/ffbudget/budget.go
@@ -79,6 +79,21 @@
 	counts := u.at(b.interval(now))
 	counts.requests += 1 - retryShare
 	counts.retries += retryShare
+	counts.ofRuns += retryShare
+}
+
+// AllowsRetriedRun reports whether the target beside this entry may run a retry, which makes
+// calls that count as retries of the services that are called: each of these still has some
+// of the budget, after the calls of the retries that are running there.
+func (b *Budget) AllowsRetriedRun(running int, now time.Time) bool {
+	interval := b.interval(now)
+	for _, u := range b.services {
+		limit, retries := b.limit(u, now)
+		if u.calledByRetries(interval) && retries+float64(running)+1 > limit {
+			return false
+		}
+	}
+	return true
 }
 
 // TryRetry takes one retry of a call out of the budget and reports whether there was
--- a/internal/ffbudget/budget_test.go
+++ b/internal/ffbudget/budget_test.go
@@ -187,3 +187,76 @@
 		t.Errorf("%d retries, 50 allowed", all)
 	}
 }
+
+// callLoad is a load on entries beside targets whose runs call a second service that fails,
+// so that every retry that the budgets allow is made. Odd entries are beside such targets.
+type callLoad struct {
+	entries int
+	// perSecond is the rate of first requests, callsPerRun the number of calls of each run,
+	// and runMs how long one takes.
+	perSecond, callsPerRun, runMs, forMs int
+}
+
+// play returns the times, in milliseconds, of all requests to the called service, and of the
+// retries there: those of the entries and the calls of retried runs.
+func (l callLoad) play() (requests, retries []int) {
+	start := time.Unix(1000, 0)
+	config := ffbudget.Config{Ratio: budgetRatio, MinRetries: budgetSlack, Window: budgetWindowMs * time.Millisecond}
+	budgets := make([]*ffbudget.Budget, l.entries)
+	for i := range budgets {
+		budgets[i] = &ffbudget.Budget{FirstStart: true}
+		budgets[i].Set(config, l.entries, start)
+	}
+	running := make([][]int, l.entries)
+	arrived, callers := 0.0, l.entries/2
+	for ms := 0; ms < l.forMs; ms += entryStepMs {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for arrived += float64(l.perSecond) * entryStepMs / 1000; arrived >= 1; arrived-- {
+			first := len(requests)
+			budgets[first%l.entries].RecordRequest("caller", 0, 0, now)
+			host := 2*(first%callers) + 1
+			for range l.callsPerRun {
+				requests = append(requests, ms)
+				budgets[host].RecordRequest("called", 0, 0, now)
+				if budgets[host].TryRetry("called", 0, true, now) {
+					retries = append(retries, ms)
+				}
+			}
+			host = 2*((first+1)%callers) + 1
+			if budgets[first%l.entries].TryRetry("caller", 0, true, now) && budgets[host].AllowsRetriedRun(len(running[host]), now) {
+				running[host] = append(running[host], ms)
+			}
+		}
+		for host := range running {
+			for len(running[host]) > 0 && running[host][0]+l.runMs <= ms {
+				running[host] = running[host][1:]
+				for range l.callsPerRun {
+					retries = append(retries, ms)
+					budgets[host].RecordRequest("called", 0, 1, now)
+				}
+			}
+		}
+	}
+	return requests, retries
+}
+
+// TestCallsOfRetriedRuns guards against calls of retried runs that exceed, together with the
+// entries' own retries, the budget of the service that is called.
+func TestCallsOfRetriedRuns(t *testing.T) {
+	for _, l := range []callLoad{
+		{entries: 12, perSecond: 190, callsPerRun: 1, runMs: 90, forMs: 40_000},
+		{entries: 12, perSecond: 190, callsPerRun: 2, runMs: 90, forMs: 40_000},
+		{entries: 60, perSecond: 1000, callsPerRun: 2, runMs: 300, forMs: 30_000},
+	} {
+		requests, retries := l.play()
+		worst := 0.0
+		for from := 0; from < l.forMs; from += 100 {
+			most := max(countIn(requests, from), countIn(requests, from-budgetWindowMs/2), countIn(requests, from-budgetWindowMs))
+			worst = max(worst, float64(countIn(retries, from))/(budgetRatio*float64(most)+budgetSlack))
+		}
+		t.Logf("%+v: the worst window has %.2f of its budget", l, worst)
+		if worst > 1 {
+			t.Errorf("%+v: a window has %.2f of its budget", l, worst)
+		}
+	}
+}
--- a/internal/ffbudget/usage.go
+++ b/internal/ffbudget/usage.go
@@ -1,5 +1,7 @@
 package ffbudget
 
+import "slices"
+
 const (
 	// windowIntervals is the number of intervals into which the window is divided. Retries
 	// are kept for one more, since the window may begin anywhere in its first interval.
@@ -17,10 +19,11 @@
 	buckets         [usageBuckets]bucket
 }
 
-// bucket holds the counts of one interval.
+// bucket holds the counts of one interval. ofRuns are the retries that runs made which were
+// themselves retries.
 type bucket struct {
-	interval          int64
-	requests, retries float64
+	interval                  int64
+	requests, retries, ofRuns float64
 }
 
 // at returns the bucket of an interval, without the counts of an earlier one.
@@ -32,6 +35,14 @@
 	return b
 }
 
+// calledByRetries reports whether runs that were themselves retries made calls in the window
+// that ends with an interval.
+func (u *usage) calledByRetries(interval int64) bool {
+	return slices.ContainsFunc(u.buckets[:], func(b bucket) bool {
+		return interval-b.interval <= windowIntervals && b.ofRuns > 0
+	})
+}
+
 // totals returns the requests and retries in the window that ends with an interval.
 func (u *usage) totals(interval int64) (requests, retries float64) {
 	for _, b := range u.buckets {
--- a/internal/ffinbound/admission.go
+++ b/internal/ffinbound/admission.go
@@ -119,6 +119,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	if c.RetryShare == 1 && g.AllowsRetriedRun != nil && !g.AllowsRetriedRun(g.runs.retries(), now) {
+		return nil, newRefusal(ffmesh.ReasonBudget, 0)
+	}
 	g.pacer = g.pacer.WithHint(c.TargetLimit, now)
 	w := g.newWaiter(c)
 	if refusal := g.checkDelay(w, now); refusal != nil {
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -39,7 +39,10 @@
 	Pool    *ffhop.Pool
 	// Intake schedules the long bodies received from other VMs.
 	Intake *Intake
-	Log    zerolog.Logger
+	// AllowsRetriedRun reports whether the target, which runs a number of retries, may run
+	// one more; nil if it always may.
+	AllowsRetriedRun func(running int, now time.Time) bool
+	Log              zerolog.Logger
 
 	mu sync.Mutex
 	// target is the run for which calls wait, as it was last listed.
--- a/internal/ffinbound/runs.go
+++ b/internal/ffinbound/runs.go
@@ -44,6 +44,17 @@
 	return share
 }
 
+// retries returns the number of runs that are retries.
+func (r *runs) retries() int {
+	n := 0
+	for _, c := range r.calls {
+		if c.RetryShare == 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // RetryShare estimates the probability that a request with the given deadline was made by
 // a run at the target that counts as a retry.
 func (g *Gate) RetryShare(deadline time.Time) float64 {
--- a/internal/ffmesh/enum_string.go
+++ b/internal/ffmesh/enum_string.go
@@ -44,11 +44,12 @@
 	_ = x[ReasonSilent-12]
 	_ = x[ReasonIntake-13]
 	_ = x[ReasonEvacuated-14]
+	_ = x[ReasonBudget-15]
 }
 
-const _Reason_name = "nonebusydeadlinedrainingnoTargetshedmisdirectedconnectbrokenspoiledcanceledleavingsilentintakeevacuated"
+const _Reason_name = "nonebusydeadlinedrainingnoTargetshedmisdirectedconnectbrokenspoiledcanceledleavingsilentintakeevacuatedbudget"
 
-var _Reason_index = [...]uint8{0, 4, 8, 16, 24, 32, 36, 47, 54, 60, 67, 75, 82, 88, 94, 103}
+var _Reason_index = [...]uint8{0, 4, 8, 16, 24, 32, 36, 47, 54, 60, 67, 75, 82, 88, 94, 103, 109}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/ffmesh/reply.go
+++ b/internal/ffmesh/reply.go
@@ -25,7 +25,8 @@
 
 // Reasons, at the gate or on the way to it. ReasonShed is a rejection by the target
 // itself, ReasonIntake a body that this VM's link could not receive in time, and
-// ReasonEvacuated an order of the operators that the data centre gets no calls.
+// ReasonEvacuated an order of the operators that the data centre gets no calls, and
+// ReasonBudget a retry whose run would make calls beyond the retry budget.
 const (
 	ReasonNone          Reason = iota // none
 	ReasonBusy                        // busy
@@ -42,6 +43,7 @@
 	ReasonSilent                      // silent
 	ReasonIntake                      // intake
 	ReasonEvacuated                   // evacuated
+	ReasonBudget                      // budget
 )
 
 // Reply is the result of a call.
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -39,13 +39,15 @@
 	return localTarget{settings: s, state: state}
 }
 
-func provideGate(s Settings, local localTarget, dialect ffmesh.Dialect, log zerolog.Logger) *ffinbound.Gate {
+func provideGate(s Settings, local localTarget, dialect ffmesh.Dialect, budget *ffoutbound.RetryBudget, log zerolog.Logger) *ffinbound.Gate {
 	return &ffinbound.Gate{
 		Target:  local,
 		Dialect: dialect,
 		Pool:    &ffhop.Pool{Address: s.Target.String(), Dialer: ffhop.NewDialer(targetDialTimeout), MaxIdle: maxIdleTargetConns},
 		Intake:  &ffinbound.Intake{Rate: s.LinkRate},
 		Log:     log,
+
+		AllowsRetriedRun: budget.AllowsRetriedRun,
 	}
 }
 
--- a/internal/ffnode/wire_gen.go
+++ b/internal/ffnode/wire_gen.go
@@ -20,13 +20,13 @@
 	pointer := provideSettings(s)
 	state := provideState(log)
 	ffnodeLocalTarget := provideLocal(pointer, state)
-	gate := provideGate(s, ffnodeLocalTarget, dialect, log)
+	retryBudget := provideBudget(s)
+	gate := provideGate(s, ffnodeLocalTarget, dialect, retryBudget, log)
 	client := provideClient(s, log)
 	memory := provideMemory(s)
 	ffnodeGates := provideGates(s, gate, client)
 	loadTracker := &ffoutbound.LoadTracker{}
 	picker := providePicker(s, loadTracker)
-	retryBudget := provideBudget(s)
 	reader := provideReader(s, store, state, log)
 	registry, err := provideRegistry(state, reader, gate, retryBudget)
 	if err != nil {
--- a/internal/ffoutbound/budget.go
+++ b/internal/ffoutbound/budget.go
@@ -44,6 +44,14 @@
 	return b.budget.TryRetry(c.Service, c.Priority, clientRetry, now)
 }
 
+// AllowsRetriedRun reports whether the target on this VM, which runs a number of retries, may
+// run one more.
+func (b *RetryBudget) AllowsRetriedRun(running int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.AllowsRetriedRun(running, now)
+}
+
 // Remaining returns the retries left for the service that has fewest.
 func (b *RetryBudget) Remaining(now time.Time) float64 {
 	b.mu.Lock()
