A gate knows the service times of each route, and who gives way at a crest

Cause: a gate kept one mean service time for each priority. Besides, calls that would miss their objective gave way although only less urgent ones took their place.

At a crowded gate a call gives way if it would usually miss its objective, mean and spread counted, and only if no call there is less urgent.

--- a/internal/ffinbound/admission.go
+++ b/internal/ffinbound/admission.go
@@ -44,7 +44,7 @@
 		return func() {}, nil
 	}
 	g.mu.Lock()
-	expected := g.stats.expected(c.Priority)
+	expected := g.stats.expected(c.Class)
 	g.mu.Unlock()
 	done, ok := g.Intake.acquire(ctx, c, expected, keepAlive)
 	if !ok {
@@ -138,7 +138,8 @@
 		priority:  c.Priority,
 		objective: c.Objective,
 		deadline:  c.Deadline,
-		expected:  g.stats.expected(c.Priority),
+		expected:  g.stats.expected(c.Class),
+		usual:     g.stats.usual(c.Class),
 		granted:   make(chan bool, 1),
 	}
 }
@@ -147,12 +148,18 @@
 // queue is congested, for its objective. The caller holds the lock.
 func (g *Gate) checkDelay(w *waiter, now time.Time) *ffmesh.Reply {
 	delay := g.queueDelay(w, now)
-	if w.missesDeadline(now.Add(delay)) || w.missesObjective(now.Add(delay)) && g.congested() {
+	if w.missesDeadline(now.Add(delay)) || w.risksObjective(now.Add(delay)) && g.givesWay(w) {
 		return newRefusal(ffmesh.ReasonBusy, delay)
 	}
 	return nil
 }
 
+// givesWay reports whether w is refused if it misses its objective: the queue is congested,
+// and no call here is less urgent. The caller holds the lock.
+func (g *Gate) givesWay(w *waiter) bool {
+	return g.congested() && w.priority >= max(g.queue.leastUrgent(), g.runs.leastUrgent())
+}
+
 // congested reports whether so many calls wait that serving those that miss their
 // objective would only make others miss theirs. The caller holds the lock.
 func (g *Gate) congested() bool { return 2*len(g.queue.waiting) >= g.slots }
--- a/internal/ffinbound/queue.go
+++ b/internal/ffinbound/queue.go
@@ -12,6 +12,8 @@
 	deadline  time.Time
 	// expected is the time that the call probably takes once it is granted.
 	expected time.Duration
+	// usual is the time within which most such calls end.
+	usual time.Duration
 	// granted receives true when the call is granted, and false when it is refused.
 	granted chan bool
 }
@@ -19,6 +21,9 @@
 // missesObjective reports whether a call granted now would probably miss its objective.
 func (w *waiter) missesObjective(now time.Time) bool { return now.Add(w.expected).After(w.objective) }
 
+// risksObjective reports whether a call granted now might well miss its objective.
+func (w *waiter) risksObjective(now time.Time) bool { return now.Add(w.usual).After(w.objective) }
+
 // missesDeadline reports whether a call granted now would miss its deadline even if it
 // took only half of the expected time.
 func (w *waiter) missesDeadline(now time.Time) bool { return now.Add(w.expected / 2).After(w.deadline) }
@@ -66,6 +71,15 @@
 	return true
 }
 
+// leastUrgent returns the priority of the least urgent call that waits; 0 if none does.
+func (q *queue) leastUrgent() int {
+	least := 0
+	for _, w := range q.waiting {
+		least = max(least, w.priority)
+	}
+	return least
+}
+
 // ahead returns the number and the total expected time of the calls that are granted
 // before w.
 func (q *queue) ahead(w *waiter, now time.Time) (calls int, work time.Duration) {
--- a/internal/ffinbound/slots.go
+++ b/internal/ffinbound/slots.go
@@ -88,11 +88,11 @@
 }
 
 // removeWaiting removes a call from the queue and reports whether it did. With
-// ifCongested it removes the call only from a congested queue.
+// ifCongested it removes the call only if it gives way to others in a congested queue.
 func (g *Gate) removeWaiting(w *waiter, ifCongested bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if ifCongested && !g.congested() {
+	if ifCongested && !g.givesWay(w) {
 		return false
 	}
 	return g.queue.remove(w)
@@ -132,7 +132,7 @@
 	g.mu.Lock()
 	g.runs.remove(c)
 	if r.Outcome == ffmesh.OutcomeRan {
-		g.stats.recordTime(now, c.Priority, now.Sub(started))
+		g.stats.recordTime(now, c.Class, now.Sub(started))
 	}
 	if r.Reason != ffmesh.ReasonCanceled {
 		g.stats.recordOutcome(now, r.Reason != ffmesh.ReasonNone || r.Status >= 500)
--- a/internal/ffinbound/targetstats.go
+++ b/internal/ffinbound/targetstats.go
@@ -21,11 +21,13 @@
 	failureWeight = 0.15
 )
 
-// targetStats tracks the service times of a target by priority, and its failure rate.
+// maxClasses is the number of classes of calls from which their statistics start anew.
+const maxClasses = 128
+
+// targetStats tracks the service times of a target by class of calls, and its failure rate.
 type targetStats struct {
-	// mean is the moving average of the service times of each priority, and overall
-	// that of all calls.
-	mean      map[int]time.Duration
+	classes map[uint16]classTimes
+	// overall is the moving average of all service times.
 	overall   time.Duration
 	sampledAt time.Time
 	// failing is the failure rate at failingAt.
@@ -33,13 +35,25 @@
 	failingAt time.Time
 }
 
+// classTimes holds the moving averages of the service times of a class, and of their
+// distance from the mean.
+type classTimes struct{ mean, deviation time.Duration }
+
+// with returns c with one more service time.
+func (c classTimes) with(d time.Duration) classTimes {
+	if c.mean == 0 {
+		return classTimes{mean: d}
+	}
+	return classTimes{mean: movingAverage(c.mean, d), deviation: movingAverage(c.deviation, (d - c.mean).Abs())}
+}
+
 // recordTime adds the service time of one call.
-func (t *targetStats) recordTime(now time.Time, priority int, d time.Duration) {
+func (t *targetStats) recordTime(now time.Time, class uint16, d time.Duration) {
 	t.sampledAt = now
-	if t.mean == nil {
-		t.mean = make(map[int]time.Duration)
+	if t.classes == nil || len(t.classes) >= maxClasses {
+		t.classes = make(map[uint16]classTimes)
 	}
-	t.mean[priority] = movingAverage(t.mean[priority], d)
+	t.classes[class] = t.classes[class].with(d)
 	t.overall = movingAverage(t.overall, d)
 }
 
@@ -51,13 +65,18 @@
 }
 
 // expected returns the estimated service time of a call.
-func (t *targetStats) expected(priority int) time.Duration {
-	if d, ok := t.mean[priority]; ok {
-		return d
+func (t *targetStats) expected(class uint16) time.Duration {
+	if c, ok := t.classes[class]; ok {
+		return c.mean
 	}
 	return t.typical()
 }
 
+// usual returns the time within which most calls of a class end.
+func (t *targetStats) usual(class uint16) time.Duration {
+	return t.expected(class) + t.classes[class].deviation
+}
+
 // typical returns the mean service time of all calls.
 func (t *targetStats) typical() time.Duration {
 	if t.overall == 0 {
--- a/internal/ffmesh/call.go
+++ b/internal/ffmesh/call.go
@@ -30,6 +30,8 @@
 	Target   string
 	Kind     ffroute.Kind
 	Priority int
+	// Class tells the calls of one route from those of most others.
+	Class uint16
 	// Deadline is when the client or the route stops waiting for the response.
 	Deadline time.Time
 	// Objective is the time by which the response should arrive, from the latency
--- a/internal/ffmeshpeer/head.go
+++ b/internal/ffmeshpeer/head.go
@@ -46,6 +46,7 @@
 	Target   string
 	Kind     ffroute.Kind
 	Priority int
+	Class    uint16
 	// Length is the length of the body in bytes; -1 when unknown.
 	Length    int64
 	Left      time.Duration
@@ -56,7 +57,7 @@
 func encodeCallHead(c *ffmesh.Call, now time.Time) (string, error) {
 	return encode(callHead{
 		ID: c.ID, Origin: c.Origin, Service: c.Service, Target: c.Target, Kind: c.Kind, Priority: c.Priority,
-		Length: c.Length, Left: c.Deadline.Sub(now), Objective: c.Objective.Sub(now), Elapsed: now.Sub(c.Received),
+		Class: c.Class, Length: c.Length, Left: c.Deadline.Sub(now), Objective: c.Objective.Sub(now), Elapsed: now.Sub(c.Received),
 	})
 }
 
@@ -64,7 +65,7 @@
 func (h callHead) call(now time.Time) *ffmesh.Call {
 	return &ffmesh.Call{
 		ID: h.ID, Origin: h.Origin, Service: h.Service, Target: h.Target, Kind: h.Kind, Priority: h.Priority,
-		Length: h.Length, Deadline: now.Add(h.Left), Objective: now.Add(h.Objective), Received: now.Add(-h.Elapsed),
+		Class: h.Class, Length: h.Length, Deadline: now.Add(h.Left), Objective: now.Add(h.Objective), Received: now.Add(-h.Elapsed),
 	}
 }
 
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -180,6 +180,7 @@
 		Service:   h.splitter.Pick(route),
 		Kind:      route.Kind,
 		Priority:  route.Priority,
+		Class:     route.Class(),
 		Received:  received,
 		Deadline:  received.Add(timeout),
 		Objective: received.Add(route.Objective - h.timeouts.elapsed(route.Name, timeout)),
--- a/internal/ffroute/route.go
+++ b/internal/ffroute/route.go
@@ -1,6 +1,10 @@
 package ffroute
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Route sends the requests of one host and path prefix to a service.
 type Route struct {
@@ -20,6 +24,9 @@
 	Split []WeightedService `json:"split"`
 }
 
+// Class returns a number that tells r from most other routes.
+func (r *Route) Class() uint16 { return uint16(xxhash.Sum64String(r.Name)) }
+
 // WeightedService is a service of a route and its weight in the traffic split.
 type WeightedService struct {
 	Service string `json:"service"`
