--- a/internal/ffload/meshsoak.go
+++ b/internal/ffload/meshsoak.go
@@ -23,6 +23,7 @@
 	For   time.Duration `arg:"--for" default:"18s" help:"least length of the load of each seed"`
 	VMs   int           `arg:"--vms" default:"5" help:"number of VMs, each with one daemon"`
 	// TargetFaults adds faults of the answers of targets.
+	CentreFaults bool   `arg:"--centre-faults" help:"also data centres that are evacuated or come back cold"`
 	TargetFaults bool   `arg:"--target-faults" help:"also faults of the answers of targets: wrong ones, limits, leaving"`
 	Keep         string `arg:"--keep" placeholder:"DIR" help:"directory for the records of seeds that broke a promise, with the daemons' logs"`
 }
@@ -51,7 +52,7 @@
 	broken := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
 		rec, err := ffmeshsoak.Run(ctx, ffmeshsoak.Options{
-			Program: program, Directory: directory, Seed: seed, MinDuration: c.For, VMs: c.VMs, TargetFaults: c.TargetFaults,
+			Program: program, Directory: directory, Seed: seed, MinDuration: c.For, VMs: c.VMs, TargetFaults: c.TargetFaults, CentreFaults: c.CentreFaults,
 		})
 		if err != nil {
 			return err
--- a/internal/ffmeshsoak/cause_test.go
+++ b/internal/ffmeshsoak/cause_test.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := newFleet(program, t.TempDir(), 2)
+	f, err := newFleet(program, t.TempDir(), 2, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/ffmeshsoak/enum_string.go
+++ b/internal/ffmeshsoak/enum_string.go
@@ -47,11 +47,13 @@
 	_ = x[FaultTargetGarbles-14]
 	_ = x[FaultTargetRepeatsRefusals-15]
 	_ = x[targetFaultEnd-16]
+	_ = x[FaultEvacuation-17]
+	_ = x[FaultColdReturn-18]
 }
 
-const _Fault_name = "killstopfreezehangupstoreCutstoreSilentstoreDelaytargetResettargetHushleaveversionendtargetLimittargetSaysLeavingtargetGarblestargetRepeatsRefusalstargetEnd"
+const _Fault_name = "killstopfreezehangupstoreCutstoreSilentstoreDelaytargetResettargetHushleaveversionendtargetLimittargetSaysLeavingtargetGarblestargetRepeatsRefusalstargetEndevacuationcoldReturn"
 
-var _Fault_index = [...]uint8{0, 4, 8, 14, 20, 28, 39, 49, 60, 70, 75, 82, 85, 96, 113, 126, 147, 156}
+var _Fault_index = [...]uint8{0, 4, 8, 14, 20, 28, 39, 49, 60, 70, 75, 82, 85, 96, 113, 126, 147, 156, 166, 176}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
@@ -76,11 +78,13 @@
 	_ = x[PromiseRecovers-8]
 	_ = x[PromiseLimit-9]
 	_ = x[PromiseUnchanged-10]
+	_ = x[PromiseCold-11]
+	_ = x[PromiseEvacuated-12]
 }
 
-const _Promise_name = "oncenotRunwholeroutednoOlderinForceleavingplannedStoprecoverslimitunchanged"
+const _Promise_name = "oncenotRunwholeroutednoOlderinForceleavingplannedStoprecoverslimitunchangedcoldevacuated"
 
-var _Promise_index = [...]uint8{0, 4, 10, 15, 21, 28, 35, 42, 53, 61, 66, 75}
+var _Promise_index = [...]uint8{0, 4, 10, 15, 21, 28, 35, 42, 53, 61, 66, 75, 79, 88}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/internal/ffmeshsoak/fleet.go
+++ b/internal/ffmeshsoak/fleet.go
@@ -42,18 +42,29 @@
 	behaviour atomic.Pointer[func(*http.Request) ffstandin.Behaviour]
 	dir       string
 	vms       []*vm
+	// coldTargets limits what targets take while they are cold.
+	coldTargets bool
+	// centresMu is held during a fault of a data centre.
+	centresMu sync.Mutex
 
 	mu      sync.Mutex
 	version int
 	// started counts the targets started so far.
 	started int
-	targets []*ffstandin.Target
+	targets []startedTarget
 	// lateLogs holds the log lines and goroutine stacks of daemons that did not stop in time.
 	lateLogs []string
 }
 
+// startedTarget is a target and the index of its VM.
+type startedTarget struct {
+	*ffstandin.Target
+	vm int
+}
+
 // vm is one VM of the fleet.
 type vm struct {
+	index  int
 	config ffstandin.VMConfig
 	// storeRelay and targetRelay connect the daemon to the store and to its target.
 	storeRelay, targetRelay *ffrelay.Relay
@@ -76,8 +87,8 @@
 
 // newFleet starts the stand-ins of the store and of the targets for n VMs, each on its own
 // loopback address. It does not start the daemons.
-func newFleet(program, dir string, n int) (*fleet, error) {
-	f := &fleet{program: program, dir: dir}
+func newFleet(program, dir string, n int, coldTargets bool) (*fleet, error) {
+	f := &fleet{program: program, dir: dir, coldTargets: coldTargets}
 	f.setBehaviour(sound)
 	f.server = httptest.NewServer(&f.store)
 	f.publishVersion()
@@ -145,8 +156,8 @@
 
 func (f *fleet) newVM(i int, ports [portCount]int) (*vm, error) {
 	address := func(port int) string { return net.JoinHostPort(hostAddress(i), strconv.Itoa(ports[port])) }
-	v := &vm{config: ffstandin.VMConfig{
-		Name: fmt.Sprint("vm-", i), DataCentre: "dc-" + string(rune('a'+i%2)), Service: service,
+	v := &vm{index: i, config: ffstandin.VMConfig{
+		Name: fmt.Sprint("vm-", i), DataCentre: "dc-" + string(rune('a'+i%centres)), Service: service,
 		Callers: address(portCallers), Peers: address(portPeers), Ready: address(portReady), Target: address(portTarget),
 		Heartbeats: ports[portHeartbeats], Metrics: ports[portMetrics],
 	}}
@@ -176,15 +187,18 @@
 	f.started++
 	id := fmt.Sprint("i-", v.config.Name, "-", f.started)
 	t := &ffstandin.Target{ID: id, Behave: func(r *http.Request) ffstandin.Behaviour { return f.behave(v, r) }}
-	f.targets = append(f.targets, t)
+	f.targets = append(f.targets, startedTarget{Target: t, vm: v.index})
 	startNumber := int64(f.started)
 	f.mu.Unlock()
 	v.targetMu.Lock()
 	defer v.targetMu.Unlock()
+	if f.coldTargets && v.running != nil {
+		t.BecomeCold()
+	}
 	v.running = t
 	v.entry = ffstandin.TargetEntry{
 		ID: id, Service: service, Address: v.config.Target, DataCentre: v.config.DataCentre,
-		State: "ready", Slots: slots, Born: startNumber,
+		State: "ready", Slots: slots, Born: startNumber, ColdRemainingS: t.ColdFor().Seconds(),
 	}
 	f.store.PutEntry(v.entry)
 }
@@ -224,6 +238,7 @@
 		for _, v := range f.vms {
 			v.targetMu.Lock()
 			v.entry.Sequence++
+			v.entry.ColdRemainingS = v.running.ColdFor().Seconds()
 			f.store.PutEntry(v.entry)
 			v.targetMu.Unlock()
 		}
@@ -240,7 +255,11 @@
 	for v := max(1, f.version-keptVersions+1); v <= f.version; v++ {
 		routes = append(routes, ffstandin.Route{Name: routeOf(v), Kind: "safe", Service: service})
 	}
-	f.store.PutConfig(f.version, routes)
+	if f.coldTargets {
+		f.store.PutColdConfig(f.version, routes)
+	} else {
+		f.store.PutConfig(f.version, routes)
+	}
 	return f.version
 }
 
@@ -279,6 +298,17 @@
 	return all
 }
 
+// targetRecords returns what is known of each target, by ID.
+func (f *fleet) targetRecords() map[string]TargetRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make(map[string]TargetRecord, len(f.targets))
+	for _, t := range f.targets {
+		all[t.ID] = TargetRecord{VM: t.vm, Overrun: t.Overrun()}
+	}
+	return all
+}
+
 // logs returns the last log lines by VM name, and under "late" those of daemons that did
 // not stop in time.
 func (f *fleet) logs() map[string][]string {
--- a/internal/ffmeshsoak/judge.go
+++ b/internal/ffmeshsoak/judge.go
@@ -23,6 +23,8 @@
 	PromiseRecovers                 // recovers
 	PromiseLimit                    // limit
 	PromiseUnchanged                // unchanged
+	PromiseCold                     // cold
+	PromiseEvacuated                // evacuated
 )
 
 // Violation is a violation of a promise.
@@ -69,6 +71,7 @@
 	for _, h := range rec.Happenings {
 		c.checkHappening(h)
 	}
+	c.checkOverruns()
 	return c.breaches
 }
 
@@ -153,6 +156,8 @@
 		c.checkSaidLeaving(h)
 	case FaultStop:
 		c.checkStop(h)
+	case FaultEvacuation:
+		c.checkEvacuation(h)
 	}
 }
 
--- a/internal/ffmeshsoak/record.go
+++ b/internal/ffmeshsoak/record.go
@@ -43,6 +43,14 @@
 	Failed string
 }
 
+// TargetRecord is what is known of a target.
+type TargetRecord struct {
+	VM int
+	// Overrun is the greatest number of requests by which it got more in a second than it
+	// takes while it is cold.
+	Overrun int
+}
+
 // Record is the complete record of a soak.
 type Record struct {
 	Seed uint64
@@ -52,6 +60,8 @@
 	Happenings             []ExecutedEvent
 	// Runs lists the executions at targets by request ID.
 	Runs map[string][]ffstandin.Run
+	// Targets lists the targets by ID.
+	Targets map[string]TargetRecord
 	// Logs holds the last log lines of each daemon by VM name and, under "late", those of
 	// daemons that did not stop in time, with their goroutine stacks.
 	Logs map[string][]string
--- a/internal/ffmeshsoak/schedule.go
+++ b/internal/ffmeshsoak/schedule.go
@@ -34,6 +34,12 @@
 	targetFaultEnd                                           // targetEnd
 )
 
+// Faults of data centres.
+const (
+	FaultEvacuation Fault = iota + targetFaultEnd + 1 // evacuation
+	FaultColdReturn                                   // coldReturn
+)
+
 // Event is one fault or operation on one VM, from At to At+For after the start of the load.
 type Event struct {
 	At, For time.Duration
--- a/internal/ffmeshsoak/soak.go
+++ b/internal/ffmeshsoak/soak.go
@@ -41,14 +41,15 @@
 	Seed               uint64
 	MinDuration        time.Duration
 	VMs                int
-	// TargetFaults adds faults of the answers of targets.
-	TargetFaults bool
+	// TargetFaults adds faults of the answers of targets, and CentreFaults data centres that
+	// are evacuated or come back cold.
+	TargetFaults, CentreFaults bool
 }
 
 // Run soaks a mesh and returns the record. If ctx ends early, it returns an error and no
 // record, because an incomplete record proves nothing.
 func Run(ctx context.Context, o Options) (*Record, error) {
-	f, err := newFleet(o.Program, o.Directory, o.VMs)
+	f, err := newFleet(o.Program, o.Directory, o.VMs, o.CentreFaults)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +80,7 @@
 	}
 	<-time.After(settleTime)
 	out.rec.Ended = time.Now()
-	out.rec.Runs = f.runs()
+	out.rec.Runs, out.rec.Targets = f.runs(), f.targetRecords()
 	out.rec.Logs = f.logs()
 	return &out.rec, nil
 }
@@ -90,6 +91,9 @@
 	if o.TargetFaults {
 		all = append(all, GenerateTargetEvents(o.Seed, o.MinDuration, o.VMs)...)
 	}
+	if o.CentreFaults {
+		all = append(all, GenerateCentreEvents(o.Seed, o.MinDuration)...)
+	}
 	slices.SortStableFunc(all, func(a, b Event) int { return int(a.At - b.At) })
 	return all
 }
@@ -149,6 +153,10 @@
 		h.Failed = injectFault(v.targetRelay, ffrelay.Fault{Kind: ffrelay.FaultSilentOpen}, e.For/8)
 	case FaultTargetLimit, FaultTargetSaysLeaving, FaultTargetGarbles, FaultTargetRepeatsRefusals:
 		h.Began, h.Target = f.disruptTarget(v, e)
+	case FaultEvacuation:
+		h.Began = f.evacuate(v, e)
+	case FaultColdReturn:
+		h.Failed = f.returnCold(v, e)
 	default:
 		h.Began, h.Failed = f.disruptDaemon(ctx, v, e)
 	}
--- a/internal/ffmeshsoak/soak_test.go
+++ b/internal/ffmeshsoak/soak_test.go
@@ -24,14 +24,21 @@
 
 // TestSeeds soaks a mesh with each seed of testdata/seeds: one that is always run, and
 // every seed that once failed and whose fault was fixed.
-func TestSeeds(t *testing.T) { soakSeeds(t, "testdata/seeds", false) }
+func TestSeeds(t *testing.T) { soakSeeds(t, "testdata/seeds", ffmeshsoak.Options{}) }
 
 // TestTargetFaults does the same with targets that answer wrongly, name limits or say that
 // they leave.
-func TestTargetFaults(t *testing.T) { soakSeeds(t, "testdata/targetFaults", true) }
+func TestTargetFaults(t *testing.T) {
+	soakSeeds(t, "testdata/targetFaults", ffmeshsoak.Options{TargetFaults: true})
+}
+
+// TestCentreFaults does the same with data centres that are evacuated or come back cold.
+func TestCentreFaults(t *testing.T) {
+	soakSeeds(t, "testdata/centreFaults", ffmeshsoak.Options{CentreFaults: true})
+}
 
 // TestOpenSeeds soaks a mesh with the seeds that failed for an unresolved cause.
-func TestOpenSeeds(t *testing.T) { soakSeeds(t, "testdata/open", false) }
+func TestOpenSeeds(t *testing.T) { soakSeeds(t, "testdata/open", ffmeshsoak.Options{}) }
 
 // TestCancelledSoakHasNoRecord checks that Run returns no record if ctx ends early.
 func TestCancelledSoakHasNoRecord(t *testing.T) {
@@ -50,8 +57,8 @@
 	}
 }
 
-// soakSeeds soaks a mesh with each seed of a file.
-func soakSeeds(t *testing.T, path string, targetFaults bool) {
+// soakSeeds soaks a mesh with each seed of a file, and the faults of o.
+func soakSeeds(t *testing.T, path string, o ffmeshsoak.Options) {
 	t.Helper()
 	binaries := &ffprocess.Binaries{Directory: t.TempDir()}
 	program, err := binaries.Path(t.Context(), "fireflyfall")
@@ -71,9 +78,9 @@
 			t.Fatalf("%q: %v", text, err)
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			rec, err := ffmeshsoak.Run(t.Context(), ffmeshsoak.Options{
-				Program: program, Directory: t.TempDir(), Seed: seed, MinDuration: soakTime, VMs: soakVMs, TargetFaults: targetFaults,
-			})
+			o.Program, o.Directory, o.Seed = program, t.TempDir(), seed
+			o.MinDuration, o.VMs = soakTime, soakVMs
+			rec, err := ffmeshsoak.Run(t.Context(), o)
 			if err != nil {
 				t.Fatal(err)
 			}
