A limit on the work of copies of slow calls (operators' wish)

Each entry earns that share of the work of its own calls and spends it on copies, so the sum holds without a message whoever starts, leaves or disagrees; it begins with nothing. Calls that copied runs make are charged too. Under a limit a call counts as slow once it takes longer than all but that share of recent answers to its route.

--- a/internal/ffcommand/mesh.go
+++ b/internal/ffcommand/mesh.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fireflyfall.dev/fireflyfall/internal/ffhedge"
 	"fireflyfall.dev/fireflyfall/internal/ffnode"
 	"fireflyfall.dev/fireflyfall/platform"
 )
@@ -25,7 +26,9 @@
 type Mesh struct {
 	Settings string `arg:"--settings,env:FIREFLYFALL_SETTINGS,required" help:"path of the platform's settings file"`
 	LogLevel string `arg:"--log-level,env:FIREFLYFALL_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
-	Check    bool   `arg:"--check" help:"read the settings, print every fault and end"`
+	// HedgeLimit applies unless the settings file has one.
+	HedgeLimit ffhedge.Limit `arg:"--hedge-limit,env:FIREFLYFALL_HEDGE_LIMIT" help:"greatest share of a service's work for copies of slow calls, 0 to 1"`
+	Check      bool          `arg:"--check" help:"read the settings, print every fault and end"`
 }
 
 // Run serves until ctx is done, then shuts the daemon down gracefully, without interrupting
@@ -37,7 +40,7 @@
 	if err != nil {
 		return &Error{Op: "mesh", Kind: KindUsage, Err: err}
 	}
-	s, err := platform.ReadSettings(m.Settings)
+	s, err := m.readSettings()
 	if err != nil {
 		return &Error{Op: "mesh", Kind: KindFailed, Err: err}
 	}
@@ -51,7 +54,7 @@
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("vm", s.Name).Logger()
 	reloads := make(chan ffnode.Settings, 1)
-	go (&watcher{path: m.Settings, log: log, hangup: hangup, reloads: reloads}).run(ctx)
+	go (&watcher{path: m.Settings, read: m.readSettings, log: log, hangup: hangup, reloads: reloads}).run(ctx)
 	store := platform.NewStore(s.Store, log)
 	if err := ffnode.Run(ctx, s, reloads, store, platform.Headers{}, log); err != nil {
 		log.Error().Err(err).Msg("mesh daemon failed")
@@ -59,3 +62,12 @@
 	}
 	return nil
 }
+
+// readSettings reads the settings file and adds the settings of the command line.
+func (m *Mesh) readSettings() (ffnode.Settings, error) {
+	s, err := platform.ReadSettings(m.Settings)
+	if _, ok := s.HedgeLimit.Share(); !ok {
+		s.HedgeLimit = m.HedgeLimit
+	}
+	return s, err
+}
--- a/internal/ffcommand/watcher.go
+++ b/internal/ffcommand/watcher.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 
 	"fireflyfall.dev/fireflyfall/internal/ffnode"
-	"fireflyfall.dev/fireflyfall/platform"
 )
 
 // settingsPollInterval is the interval at which the settings file is checked for changes.
@@ -21,6 +20,8 @@
 // periodically and on SIGHUP.
 type watcher struct {
 	path string
+	// read reads the settings.
+	read func() (ffnode.Settings, error)
 	log  zerolog.Logger
 	// hangup receives SIGHUP.
 	hangup <-chan os.Signal
@@ -71,7 +72,7 @@
 	if bytes.Equal(content, w.lastContent) {
 		return
 	}
-	s, err := platform.ReadSettings(w.path)
+	s, err := w.read()
 	if err != nil {
 		w.log.Error().Err(err).Msg("invalid settings ignored")
 		return
--- a/internal/ffcommand/watcher_test.go
+++ b/internal/ffcommand/watcher_test.go
@@ -43,7 +43,7 @@
 	}
 	write(testSettings)
 	reloads := make(chan ffnode.Settings, 1)
-	w := &watcher{path: path, log: zerolog.Nop(), hangup: notifyHangup(), reloads: reloads}
+	w := &watcher{path: path, read: (&Mesh{Settings: path}).readSettings, log: zerolog.Nop(), hangup: notifyHangup(), reloads: reloads}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/ffnode/provide.go
+++ b/internal/ffnode/provide.go
@@ -77,11 +77,17 @@
 	return m, nil
 }
 
+func provideHedges(s Settings) *ffoutbound.Hedges {
+	h := &ffoutbound.Hedges{}
+	h.SetLimit(s.HedgeLimit)
+	return h
+}
+
 func provideMemory(s Settings) *ffmesh.Memory { return ffmesh.NewMemory(s.Memory / bodyMemoryDivisor) }
 
 func provideHandler(
 	s *atomic.Pointer[Settings], memory *ffmesh.Memory, state *ffgossip.State, gate *ffinbound.Gate, gates gates, dialect ffmesh.Dialect,
-	picker *ffoutbound.Picker, budget *ffoutbound.RetryBudget, metrics *ffoutbound.Metrics, log zerolog.Logger,
+	picker *ffoutbound.Picker, budget *ffoutbound.RetryBudget, hedges *ffoutbound.Hedges, metrics *ffoutbound.Metrics, log zerolog.Logger,
 ) *ffoutbound.Handler {
 	return &ffoutbound.Handler{
 		Origin:  func() string { return s.Load().Service },
@@ -90,6 +96,7 @@
 		Dialect: dialect,
 		Picker:  picker,
 		Budget:  budget,
+		Hedges:  hedges,
 		Memory:  memory,
 		Metrics: metrics,
 		Log:     log,
--- a/internal/ffnode/reload.go
+++ b/internal/ffnode/reload.go
@@ -29,6 +29,7 @@
 // reload applies changed settings.
 func (n *Node) reload(s Settings) {
 	old := n.Settings.Swap(&s)
+	n.Entry.Hedges.SetLimit(s.HedgeLimit)
 	n.Budget.Set(s.RetryBudget, n.State.Fleet().Len(), time.Now())
 	if s.Store != old.Store {
 		n.Store.MoveTo(s.Store)
--- a/internal/ffnode/settings.go
+++ b/internal/ffnode/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffbudget"
+	"fireflyfall.dev/fireflyfall/internal/ffhedge"
 )
 
 // Settings configure a daemon. They are set at its start and replaced at each reload.
@@ -29,6 +30,8 @@
 	// ColdRatio is the multiple of what a cold target takes a second that it may get, and
 	// ColdSlack the number of calls that may come in any second besides.
 	ColdRatio, ColdSlack float64
+	// HedgeLimit bounds the work of copies of slow calls.
+	HedgeLimit ffhedge.Limit
 	// FirstStart reports whether the whole deployment starts for the first time.
 	FirstStart bool
 	// StopGrace is the time between the request to stop and the forced end.
--- a/internal/ffnode/wire.go
+++ b/internal/ffnode/wire.go
@@ -17,7 +17,7 @@
 func assemble(s Settings, store Store, dialect ffmesh.Dialect, log zerolog.Logger) (*Node, error) {
 	panic(wire.Build(
 		provideSettings, provideState, provideLocal, provideGate, provideClient, provideGates, providePicker,
-		provideBudget, provideMemory, provideRegistry, provideMetrics, provideHandler, provideReader, provideNode,
+		provideBudget, provideHedges, provideMemory, provideRegistry, provideMetrics, provideHandler, provideReader, provideNode,
 		wire.Struct(new(ffoutbound.LoadTracker)), wire.Struct(new(ffgossip.Peers)),
 		wire.Struct(new(Node), "*"),
 	))
--- a/internal/ffnode/wire_gen.go
+++ b/internal/ffnode/wire_gen.go
@@ -27,8 +27,9 @@
 	ffnodeGates := provideGates(s, gate, client)
 	loadTracker := &ffoutbound.LoadTracker{}
 	picker := providePicker(s, loadTracker)
+	hedges := provideHedges(s)
 	reader := provideReader(s, store, state, log)
-	registry, err := provideRegistry(state, reader, gate, retryBudget)
+	registry, err := provideRegistry(state, reader, gate, retryBudget, hedges)
 	if err != nil {
 		return nil, err
 	}
@@ -36,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	handler := provideHandler(pointer, memory, state, gate, ffnodeGates, dialect, picker, retryBudget, metrics, log)
+	handler := provideHandler(pointer, memory, state, gate, ffnodeGates, dialect, picker, retryBudget, hedges, metrics, log)
 	peers := &ffgossip.Peers{}
 	node := provideNode(s, state, peers, reader, gate, loadTracker, client, log)
 	ffnodeNode := &Node{
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -59,6 +59,7 @@
 	Dialect ffmesh.Dialect
 	Picker  *Picker
 	Budget  *RetryBudget
+	Hedges  *Hedges
 	// RetryShare estimates the probability that a request with the given deadline was
 	// made by a run of this VM's target that counts as a retry; nil if none can be.
 	RetryShare func(deadline time.Time) float64
--- a/internal/ffoutbound/hedge.go
+++ b/internal/ffoutbound/hedge.go
@@ -65,6 +65,7 @@
 		c.OnSilence = r.onSilence(t, silent)
 		answers.add(r.handler.offer(ctx, t, &c, retryShare))
 	}
+	startedAt := time.Now()
 	go offer(t, r.retryShare())
 	timer := time.NewTimer(time.Until(r.hedgeAt(t)))
 	defer timer.Stop()
@@ -80,7 +81,7 @@
 	for pending := 1; pending > 0; {
 		select {
 		case <-timer.C:
-			if started := hedge(maxHedgeBusy); started > 0 {
+			if started := r.hedgeSlow(hedge); started > 0 {
 				pending += started
 			} else if r.mayHedge() {
 				timer.Reset(hedgeRetryInterval)
@@ -92,6 +93,7 @@
 			best = keepBetter(best, reply)
 			if reply.Outcome == ffmesh.OutcomeRan && reply.Status < 500 {
 				pending = 0
+				r.handler.Hedges.recordAnswer(r.call, time.Since(startedAt))
 			}
 		}
 	}
@@ -136,10 +138,23 @@
 func (r *run) hedgeAt(t fffleet.Target) time.Time {
 	return Slowness{
 		StartedAt: time.Now(), Typical: r.handler.Picker.Loads.snapshot(t.VM()).load.Typical,
-		ObjectiveAt: r.call.Objective, Objective: r.route.Objective,
+		ObjectiveAt: r.call.Objective, Objective: r.route.Objective, SlowFrom: r.handler.Hedges.slowFrom(r.call),
 	}.HedgeAt()
 }
 
+// hedgeSlow starts a hedge of a slow call if the operators' limit has room for it, and returns
+// how many were started.
+func (r *run) hedgeSlow(hedge func(maxBusy float64) int) int {
+	if !r.handler.Hedges.allows(r.call) {
+		return 0
+	}
+	started := hedge(maxHedgeBusy)
+	if started > 0 {
+		r.handler.Hedges.recordCopy(r.call)
+	}
+	return started
+}
+
 // mayHedge reports whether the request may be sent to one more target.
 func (r *run) mayHedge() bool { return !r.hedged && r.arrivals+1 < r.route.Attempts }
 
--- a/internal/ffoutbound/hedgetime.go
+++ b/internal/ffoutbound/hedgetime.go
@@ -27,16 +27,22 @@
 	// ObjectiveAt is when the answer should come, Objective after the request.
 	ObjectiveAt time.Time
 	Objective   time.Duration
+	// SlowFrom is the time that only the slowest answers exceed; 0 if it is not known.
+	SlowFrom time.Duration
 }
 
 // HedgeAt returns when a call counts as slow, so that a second target is asked beside the
-// first: after a multiple of the typical time, but while the second can still answer by
+// first: after the time that only the slowest exceed or, while that is not known, after a
+// multiple of the typical time, but while the second can still answer by
 // the objective. It is for services of which a few calls take many times the typical
 // time, on targets of differing speed.
 func (s Slowness) HedgeAt() time.Time {
 	least := max(hedgeObjectiveFraction*float64(s.Objective), minHedgeTypicalFactor*float64(s.Typical))
 	earliest := s.StartedAt.Add(time.Duration(least))
 	at := s.StartedAt.Add(hedgeTypicalFactor * s.Typical)
+	if s.SlowFrom > 0 {
+		at = s.StartedAt.Add(s.SlowFrom)
+	}
 	if latest := s.ObjectiveAt.Add(-s.Typical); latest.Before(at) {
 		at = latest
 	}
--- a/internal/ffoutbound/run.go
+++ b/internal/ffoutbound/run.go
@@ -40,6 +40,7 @@
 func (r *run) do(ctx context.Context) {
 	now := time.Now()
 	r.handler.Budget.recordRequest(r.call, now)
+	r.handler.Hedges.recordCall(r.call)
 	for choice, ok := r.pick(now); ok && ctx.Err() == nil; choice, ok = r.next(ctx) {
 		r.send(ctx, choice)
 	}
