A call that will be in time stays in its data centre

Cause: an entry took the cheapest of the targets that it compared, and a fixed cost for another data centre was soon below the difference between two guesses.

Change: if the best target of the own data centre has a free slot, and a call there most probably ends by its objective, no other one is considered. A data centre with room keeps its own; one without spills what would be late.

--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -90,18 +90,35 @@
 		states[i] = p.Loads.snapshot(t.VM())
 	}
 	assumed := assumedTypical(targets, states)
-	best := Choice{Candidates: len(targets)}
+	var best, near Choice
 	for i, t := range targets {
 		s := &states[i]
 		cost, wait := p.cost(t, s, c, assumed, now)
+		choice := Choice{Target: t, Cost: cost, Wait: wait, Busy: s.utilization(t), LoadAge: now.Sub(s.loadAt)}
 		if i == 0 || cost < best.Cost {
-			best.Target, best.Cost, best.Wait, best.LoadAge = t, cost, wait, now.Sub(s.loadAt)
-			best.Busy = s.utilization(t)
+			best = choice
 		}
+		if t.DataCentre == p.Location.DataCentre && (near.Cost == 0 || cost < near.Cost) {
+			near = choice
+		}
+	}
+	if near.inTime(c, now) {
+		best = near
 	}
+	best.Candidates = len(targets)
 	return best, len(targets) > 0
 }
 
+// nearMargin is the multiple of its cost within which a call at a target of the own data
+// centre must have its objective for none elsewhere to be considered.
+const nearMargin = 1.5
+
+// inTime reports whether a call has a free slot at the chosen target, and will most probably
+// end by its objective there.
+func (c Choice) inTime(call *ffmesh.Call, now time.Time) bool {
+	return c.Cost > 0 && c.Wait == 0 && !now.Add(time.Duration(nearMargin*float64(c.Cost))).After(call.Objective)
+}
+
 // subset returns the targets of a service that this entry uses.
 func (p *Picker) subset(fleet fffleet.Fleet, service string) []fffleet.Target {
 	p.mu.Lock()
