--- a/internal/ffcommand/error.go
+++ b/internal/ffcommand/error.go
@@ -13,6 +13,7 @@
 	KindUsage               // usage
 	KindFault               // fault
 	KindFailed              // failed
+	KindInvalid             // invalid
 )
 
 // Error is the failure of a command.
--- a/internal/ffcommand/kind_string.go
+++ b/internal/ffcommand/kind_string.go
@@ -12,11 +12,12 @@
 	_ = x[KindUsage-1]
 	_ = x[KindFault-2]
 	_ = x[KindFailed-3]
+	_ = x[KindInvalid-4]
 }
 
-const _Kind_name = "unknownusagefaultfailed"
+const _Kind_name = "unknownusagefaultfailedinvalid"
 
-var _Kind_index = [...]uint8{0, 7, 12, 17, 23}
+var _Kind_index = [...]uint8{0, 7, 12, 17, 23, 30}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
