The replay of crests records the times that calls took

It recorded the usual time of each class instead, so the spread had no part in it. The bounds are unchanged.

--- a/internal/ffinbound/crest_test.go
+++ b/internal/ffinbound/crest_test.go
@@ -33,7 +33,8 @@
 	*waiter
 	call  *ffmesh.Call
 	class int
-	endMs int
+	// startMs and endMs are when it runs at the target.
+	startMs, endMs int
 }
 
 // crestCounts counts the calls of one class.
@@ -66,7 +67,7 @@
 			if c.endMs > ms {
 				return false
 			}
-			g.finishReplayed(c, now, at(c.endMs-c.workMs(l)))
+			g.finishReplayed(c, now, at(c.startMs))
 			counts[c.class].record(c, now)
 			return true
 		})
@@ -86,6 +87,7 @@
 			case ok := <-c.granted:
 				if ok {
 					g.runs.add(c.call)
+					c.startMs = ms
 					c.endMs = ms + int(float64(l.Classes[c.class].WorkMs)*(0.5+random.ExpFloat64()/2))
 					running = append(running, c)
 				}
@@ -99,9 +101,6 @@
 	return counts
 }
 
-// workMs returns the usual time of the call at the target.
-func (c *crestCall) workMs(l crest) int { return l.Classes[c.class].WorkMs }
-
 // call returns a call of the class with index i.
 func (c crestClass) call(i int, now time.Time) *ffmesh.Call {
 	return &ffmesh.Call{
