--- a/internal/ffdistribution/failure_test.go
+++ b/internal/ffdistribution/failure_test.go
@@ -113,6 +113,25 @@
 	})
 }
 
+// TestDataCentreWithoutPlatformDoesNotDependOnChance guards against a version that reaches
+// a data centre without the platform late, because no exchange happened to cross.
+func TestDataCentreWithoutPlatformDoesNotDependOnChance(t *testing.T) {
+	inFleet(t, 3, 4, func(t *testing.T, f *fleet) {
+		f.intN = func(n int) int { return n - 1 }
+		r := f.startWithVersion(t)
+		cut := newPlatform(f.vms)
+		cut.down = true
+		for _, vm := range f.vms[:4] {
+			f.start(vm, cut)
+			f.running[vm.Name].node.Seeds = []string{"vm-1-0", "vm-2-0"}
+		}
+		f.requireActive(t, r.version, 2*startTime)
+		latest := newRelease(2, "a", false)
+		f.platform.serve(latest)
+		f.requireActive(t, latest.version, convergence)
+	})
+}
+
 func TestPartitionedDataCentreCatchesUp(t *testing.T) {
 	inFleet(t, 3, 4, func(t *testing.T, f *fleet) {
 		stale := newPlatform(f.vms)
--- a/internal/ffdistribution/fleet_test.go
+++ b/internal/ffdistribution/fleet_test.go
@@ -24,6 +24,8 @@
 	starts   uint64
 	// fleetSize is the size given to the budgets; the number of VMs if zero.
 	fleetSize int
+	// intN replaces the random numbers of the daemons; optional.
+	intN func(n int) int
 
 	mu     sync.Mutex
 	faults []string
@@ -75,6 +77,7 @@
 		Members:     &ffdistribution.Members{},
 		Budget:      &ffdistribution.Budget{Name: vm.Name, FleetSize: cmp.Or(f.fleetSize, len(f.vms))},
 		Peers:       link{network: f.network, from: vm.Name},
+		IntN:        f.intN,
 	}
 	r.node.Platform = budgetedPlatform{platform: p, budget: r.node.Budget}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/ffdistribution/node.go
+++ b/internal/ffdistribution/node.go
@@ -65,8 +65,11 @@
 	// IntN returns a random number from 0 to n-1; rand.IntN of math/rand/v2 if nil.
 	IntN func(n int) int
 
-	once          sync.Once
-	synced        atomic.Bool
+	once   sync.Once
+	synced atomic.Bool
+	// platformLost is true while this daemon is a reader whose last read of the
+	// platform's manifest failed.
+	platformLost  atomic.Bool
 	resync        chan struct{}
 	hints         chan hint
 	listHints     chan hint
--- a/internal/ffdistribution/reader.go
+++ b/internal/ffdistribution/reader.go
@@ -30,6 +30,7 @@
 	r := manifestReader{n: n, wait: newBackoff()}
 	for ctx.Err() == nil {
 		if !n.synced.Load() || !n.role().manifest {
+			n.platformLost.Store(false)
 			_ = waitUntil(ctx, time.Now().Add(roleInterval))
 			continue
 		}
@@ -62,6 +63,7 @@
 // waits up to watchTimeout for a change.
 func (r *manifestReader) poll(ctx context.Context) error {
 	value, err := r.read(ctx)
+	r.n.platformLost.Store(err != nil)
 	if err != nil {
 		return err
 	}
