A cold target leaves no class of calls unserved

Cause: while targets are cold a gate served strictly by priority.

Nothing changes where no cold rate is configured.

--- a/internal/ffinbound/admission.go
+++ b/internal/ffinbound/admission.go
@@ -17,7 +17,7 @@
 	delay := g.intakeDelay(c)
 	g.mu.Lock()
 	now := time.Now()
-	refusal := g.checkDelay(g.newWaiter(c), now.Add(delay))
+	refusal := g.checkDelay(g.newWaiter(c, now), now.Add(delay))
 	g.mu.Unlock()
 	if refusal == nil {
 		return nil
@@ -123,18 +123,39 @@
 		return nil, newRefusal(ffmesh.ReasonBudget, 0)
 	}
 	g.pacer = g.pacer.WithHint(c.TargetLimit, now)
-	w := g.newWaiter(c)
-	if refusal := g.checkDelay(w, now); refusal != nil {
+	w, refusal := g.admit(c, now)
+	if refusal != nil {
 		return nil, refusal
 	}
-	g.queue.push(w)
 	g.askIfDoubtful(now)
 	g.dispatch(now)
 	return w, nil
 }
 
-func (g *Gate) newWaiter(c *ffmesh.Call) *waiter {
+// admit adds a call to the queue unless it is refused. The caller holds the lock.
+func (g *Gate) admit(c *ffmesh.Call, now time.Time) (*waiter, *ffmesh.Reply) {
+	if g.warmup.Cold(now) {
+		g.floor = g.floor.WithAsked(c.Class, now)
+	}
+	w := g.newWaiter(c, now)
+	if refusal := g.checkDelay(w, now); refusal != nil {
+		return nil, refusal
+	}
+	g.queue.push(w)
+	return w, nil
+}
+
+// owes reports whether the next call of a class, of which a number wait already, goes before
+// those of a higher priority: while the target is cold, no class is left out. The caller
+// holds the lock.
+func (g *Gate) owes(class uint16, waiting int, now time.Time) bool {
+	return g.warmup.Cold(now) && g.floor.Owed(class, waiting)
+}
+
+func (g *Gate) newWaiter(c *ffmesh.Call, now time.Time) *waiter {
 	return &waiter{
+		class:     c.Class,
+		owed:      g.owes(c.Class, g.queue.countOf(c.Class), now),
 		priority:  c.Priority,
 		objective: c.Objective,
 		deadline:  c.Deadline,
--- a/internal/ffinbound/crest_test.go
+++ b/internal/ffinbound/crest_test.go
@@ -18,7 +18,10 @@
 type crest struct {
 	Name         string
 	Slots, ForMs int
-	Classes      []crestClass
+	// ColdPerSecond is the number of calls per second that the target takes, which is cold
+	// all the time; 0 if it is warm.
+	ColdPerSecond float64
+	Classes       []crestClass
 }
 
 // crestClass is a class of calls of a crest, and the least share of them that is served in
@@ -40,8 +43,11 @@
 // crestCounts counts the calls of one class.
 type crestCounts struct{ asked, inTime, served float64 }
 
-// crestTarget is a warm target that accepts calls.
-type crestTarget struct{ slots int }
+// crestTarget is a target that accepts calls.
+type crestTarget struct {
+	slots     int
+	tolerance ffpace.Tolerance
+}
 
 func (c crestTarget) LocalTarget() (fffleet.Target, bool) {
 	return fffleet.Target{ID: "t", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: c.slots}, true
@@ -49,16 +55,19 @@
 func (crestTarget) MarkLeaving(fffleet.Target)  {}
 func (crestTarget) MarkReplaced(fffleet.Target) {}
 func (crestTarget) Evacuated() bool             { return false }
-func (crestTarget) Tolerance() ffpace.Tolerance { return ffpace.Tolerance{} }
-func (crestTarget) HealthPath() string          { return "" }
+func (c crestTarget) Tolerance() ffpace.Tolerance {
+	return c.tolerance
+}
+func (crestTarget) HealthPath() string { return "" }
 
 // play returns the counts of each class.
 func (l crest) play() []crestCounts {
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	random := rand.New(rand.NewPCG(1, 2))
-	g := &Gate{Target: crestTarget{l.Slots}, slots: l.Slots}
+	g := &Gate{Target: crestTarget{l.Slots, l.tolerance()}, slots: l.Slots}
 	g.target, _ = g.Target.LocalTarget()
+	g.warmup = g.warmup.WithTolerance(l.tolerance()).WithDoubt(start)
 	counts := make([]crestCounts, len(l.Classes))
 	var waiting, running []*crestCall
 	for ms := range l.ForMs {
@@ -101,6 +110,11 @@
 	return counts
 }
 
+// tolerance is that of a target which stays cold during the replay.
+func (l crest) tolerance() ffpace.Tolerance {
+	return ffpace.Tolerance{PerSecond: l.ColdPerSecond, ColdTime: time.Duration(l.ForMs) * time.Millisecond}
+}
+
 // call returns a call of the class with index i.
 func (c crestClass) call(i int, now time.Time) *ffmesh.Call {
 	return &ffmesh.Call{
@@ -112,11 +126,10 @@
 
 // offerReplayed queues a call; it returns nil if the gate refuses it.
 func (g *Gate) offerReplayed(c *ffmesh.Call, now time.Time) *crestCall {
-	w := g.newWaiter(c)
-	if g.checkDelay(w, now) != nil {
+	w, refusal := g.admit(c, now)
+	if refusal != nil {
 		return nil
 	}
-	g.queue.push(w)
 	return &crestCall{waiter: w, call: c}
 }
 
--- a/internal/ffinbound/gate.go
+++ b/internal/ffinbound/gate.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"fireflyfall.dev/fireflyfall/internal/fffleet"
+	"fireflyfall.dev/fireflyfall/internal/fffloor"
 	"fireflyfall.dev/fireflyfall/internal/ffhop"
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 	"fireflyfall.dev/fireflyfall/internal/ffpace"
@@ -55,6 +56,8 @@
 	stats     targetStats
 	pacer     ffpace.Pacer
 	warmup    ffpace.Warmup
+	// floor counts the calls of each class while the target is cold.
+	floor fffloor.Floor
 	// asking reports whether the target is being asked how long it stays cold.
 	asking bool
 	// wake dispatches again when a call may be sent under the target's limit.
--- a/internal/ffinbound/queue.go
+++ b/internal/ffinbound/queue.go
@@ -7,7 +7,11 @@
 
 // waiter is a call that waits for a slot, or for the transfer of its body.
 type waiter struct {
-	priority  int
+	class    uint16
+	priority int
+	// owed reports whether the call goes first whatever its priority, as its class is
+	// served too seldom.
+	owed      bool
 	objective time.Time
 	deadline  time.Time
 	// expected is the time that the call probably takes once it is granted.
@@ -31,9 +35,13 @@
 // queue holds the waiting calls in no particular order.
 type queue struct{ waiting []*waiter }
 
-// before reports whether a is granted before b: by priority, then the one that can
-// still meet its objective, then by the time of the objective.
+// before reports whether a is granted before b: the one whose class is served too seldom,
+// then by priority, then the one that can still meet its objective, then by the time of the
+// objective.
 func before(a, b *waiter, now time.Time) bool {
+	if a.owed != b.owed {
+		return a.owed
+	}
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
@@ -61,6 +69,17 @@
 	return w
 }
 
+// countOf returns the number of waiting calls of a class.
+func (q *queue) countOf(class uint16) int {
+	n := 0
+	for _, w := range q.waiting {
+		if w.class == class {
+			n++
+		}
+	}
+	return n
+}
+
 // remove removes w and reports whether it was still queued.
 func (q *queue) remove(w *waiter) bool {
 	i := slices.Index(q.waiting, w)
--- a/internal/ffinbound/slots.go
+++ b/internal/ffinbound/slots.go
@@ -20,17 +20,28 @@
 			g.wakeAt(at)
 			return
 		}
-		w := g.queue.pop(now)
+		w := g.popNext(now)
 		if w.missesDeadline(now) {
 			w.granted <- false
 			continue
 		}
+		if g.warmup.Cold(now) {
+			g.floor = g.floor.WithGranted(w.class, now)
+		}
 		g.pacer, g.warmup = g.pacer.WithCall(now), g.warmup.WithCall(now)
 		g.running++
 		w.granted <- true
 	}
 }
 
+// popNext removes and returns the next call of the queue. The caller holds the lock.
+func (g *Gate) popNext(now time.Time) *waiter {
+	for _, w := range g.queue.waiting {
+		w.owed = g.owes(w.class, 0, now)
+	}
+	return g.queue.pop(now)
+}
+
 // nextAt returns when a call with a number of others ahead of it has its turn under the
 // limits of the target. The caller holds the lock.
 func (g *Gate) nextAt(ahead int, now time.Time) time.Time {
