Responses that clients have not read count toward a daemon's memory, and end with it

Cause: only responses of 64 KiB and more that wait behind others were counted. Short ones that wait, and whatever a slow client leaves unread, were bounded by nothing, and a client that read nothing kept its response for good.

Change: every response counts from the moment it waits until it is sent, beyond the bound if need be; while more than the bound is held, new requests get 503 before any target sees them. A client that reads nothing for the idle time of the configuration loses its connection.

--- a/internal/ffmesh/memory.go
+++ b/internal/ffmesh/memory.go
@@ -1,14 +1,16 @@
 package ffmesh
 
-import "golang.org/x/sync/semaphore"
+import "sync/atomic"
 
-// Memory limits the total size of the buffered bodies. A nil Memory has no limit.
-type Memory struct{ available *semaphore.Weighted }
+// Memory limits the total size of the bodies in memory: those of requests, and those of
+// responses that their clients have not read yet. A nil Memory has no limit.
+type Memory struct {
+	limit int64
+	used  atomic.Int64
+}
 
 // NewMemory returns a limit of the given number of bytes, but at least MaxBufferedBody.
-func NewMemory(bytes int64) *Memory {
-	return &Memory{available: semaphore.NewWeighted(max(bytes, MaxBufferedBody))}
-}
+func NewMemory(bytes int64) *Memory { return &Memory{limit: max(bytes, MaxBufferedBody)} }
 
 // Reserve reserves memory for a body of the given length in bytes, -1 when unknown, and
 // reports whether it was available. At most MaxBufferedBody is reserved, since no more of a
@@ -21,8 +23,30 @@
 	if m == nil || size == 0 {
 		return func() {}, true
 	}
-	if !m.available.TryAcquire(size) {
+	if m.used.Add(size) > m.limit {
+		m.used.Add(-size)
 		return nil, false
 	}
-	return func() { m.available.Release(size) }, true
+	return func() { m.used.Add(-size) }, true
+}
+
+// Hold counts a number of bytes that are in memory in any case, even beyond the limit: a
+// response that is ready is delivered. The caller must call release once they are not.
+func (m *Memory) Hold(bytes int64) (release func()) {
+	if m == nil {
+		return func() {}
+	}
+	m.used.Add(bytes)
+	return func() { m.used.Add(-bytes) }
 }
+
+// Used returns the number of bytes in memory.
+func (m *Memory) Used() int64 {
+	if m == nil {
+		return 0
+	}
+	return m.used.Load()
+}
+
+// Overdrawn reports whether more is in memory than the limit allows.
+func (m *Memory) Overdrawn() bool { return m != nil && m.used.Load() > m.limit }
--- a/internal/ffnode/metrics.go
+++ b/internal/ffnode/metrics.go
@@ -8,6 +8,7 @@
 
 	"fireflyfall.dev/fireflyfall/internal/ffgossip"
 	"fireflyfall.dev/fireflyfall/internal/ffinbound"
+	"fireflyfall.dev/fireflyfall/internal/ffmesh"
 	"fireflyfall.dev/fireflyfall/internal/ffoutbound"
 )
 
@@ -18,7 +19,7 @@
 }
 
 // provideRegistry returns a registry with the metrics of the daemon's current state.
-func provideRegistry(state *ffgossip.State, reader *ffgossip.Reader, gate *ffinbound.Gate, budget *ffoutbound.RetryBudget, hedges *ffoutbound.Hedges) (*prometheus.Registry, error) {
+func provideRegistry(state *ffgossip.State, reader *ffgossip.Reader, gate *ffinbound.Gate, budget *ffoutbound.RetryBudget, hedges *ffoutbound.Hedges, memory *ffmesh.Memory) (*prometheus.Registry, error) {
 	r := prometheus.NewRegistry()
 	all := []prometheus.Collector{collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})}
 	for _, g := range []sampledMetric{
@@ -30,6 +31,7 @@
 		{"fireflyfall_gate_service_seconds", "Mean service time of the target.", func() float64 { return gate.Load().Typical.Seconds() }},
 		{"fireflyfall_gate_intake_seconds", "Time that long bodies on their way still take.", func() float64 { return gate.Load().Intake.Seconds() }},
 		{"fireflyfall_gate_limit", "Calls per second that the target takes now; 0 without a limit.", func() float64 { return float64(gate.Load().Limit) }},
+		{"fireflyfall_body_bytes", "Bodies in memory: of requests, and of responses that clients have not read yet.", func() float64 { return float64(memory.Used()) }},
 		{"fireflyfall_evacuated", "Evacuated data centres.", func() float64 { return float64(len(state.Fleet().Evacuated())) }},
 		{"fireflyfall_hedge_limit", "Share of the work that copies of slow calls may cost; -1 without a limit.", func() float64 { return hedgeLimit(hedges) }},
 		{"fireflyfall_repeats_left", "Repeats that the budget still has for the service that has least.", func() float64 { return budget.Remaining(time.Now()) }},
--- a/internal/ffnode/wire_gen.go
+++ b/internal/ffnode/wire_gen.go
@@ -29,7 +29,7 @@
 	picker := providePicker(s, loadTracker)
 	hedges := provideHedges(s)
 	reader := provideReader(s, store, state, log)
-	registry, err := provideRegistry(state, reader, gate, retryBudget, hedges)
+	registry, err := provideRegistry(state, reader, gate, retryBudget, hedges, memory)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -37,7 +37,7 @@
 }
 
 const (
-	// unavailableRetryIn is the Retry-After of an entry that has no memory for the body,
+	// unavailableRetryIn is the Retry-After of an entry that has no memory for the request,
 	// and the least one of an entry that has no configuration yet.
 	unavailableRetryIn = 120 * time.Millisecond
 	// discardTime and discardBytes bound how much of a refused body is still read.
@@ -63,7 +63,8 @@
 	// RetryShare estimates the probability that a request with the given deadline was
 	// made by a run of this VM's target that counts as a retry; nil if none can be.
 	RetryShare func(deadline time.Time) float64
-	// Memory limits the bodies held in memory.
+	// Memory limits the bodies held in memory. No request is accepted while unread
+	// responses take more than that.
 	Memory  *ffmesh.Memory
 	Log     zerolog.Logger
 	Metrics *Metrics
@@ -138,7 +139,10 @@
 		r.Body = http.MaxBytesReader(w, r.Body, table.Limits.BodyBytes)
 	}
 	release, ok := h.Memory.Reserve(r.ContentLength)
-	if !ok {
+	if !ok || h.Memory.Overdrawn() {
+		if ok {
+			release()
+		}
 		h.refuse(w, r, http.StatusServiceUnavailable, "memory", unavailableRetryIn)
 		return
 	}
--- a/internal/ffpipeline/held_test.go
+++ b/internal/ffpipeline/held_test.go
@@ -55,6 +55,11 @@
 
 func aheadAll(*http.Request) bool { return true }
 
+func (m *countedMemory) Hold(n int64) (release func()) {
+	m.reserved.Add(n)
+	return func() { m.reserved.Add(-n) }
+}
+
 // TestLongResponseWaitsInMemory checks that a long response behind a slow one is taken from
 // its handler at once if there is memory for it, and later if there is none, and that the
 // memory is released.
--- a/internal/ffpipeline/writer.go
+++ b/internal/ffpipeline/writer.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -94,6 +96,7 @@
 // have been sent.
 func (w *writer) FlushError() error {
 	w.WriteHeader(http.StatusOK)
+	w.hold()
 	if err := w.awaitTurn(); err != nil {
 		return err
 	}
@@ -127,10 +130,14 @@
 	}
 }
 
+// hold counts what is unsent of the body as held until the client reads it.
+func (w *writer) hold() { w.held.hold(w.e.conn.server.Memory, w.body.length) }
+
 // finish sends the rest of the response. On error the caller must abort the
 // connection, so that the client sees that the response is incomplete.
 func (w *writer) finish() error {
 	w.WriteHeader(http.StatusOK)
+	w.hold()
 	if err := w.awaitTurn(); err != nil {
 		return err
 	}
@@ -194,18 +201,29 @@
 	return w.send(out)
 }
 
-// send sends out and empties it.
+// send sends out and empties it. It fails once the client has read nothing for as long as a
+// connection may be idle.
 func (w *writer) send(out *bytes.Buffer) error {
-	if out.Len() == 0 {
-		return nil
-	}
-	if _, err := w.e.conn.net.Write(out.Bytes()); err != nil {
-		return &Error{Op: "answer", Kind: KindClosed, Err: err}
+	for out.Len() > 0 {
+		w.setWriteDeadline()
+		n, err := w.e.conn.net.Write(out.Bytes())
+		out.Next(n)
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			return &Error{Op: "answer", Kind: KindClosed, Err: err}
+		}
 	}
-	out.Reset()
 	return nil
 }
 
+// setWriteDeadline bounds the time for which the client may read nothing.
+func (w *writer) setWriteDeadline() {
+	var at time.Time
+	if d := w.e.conn.server.limits().IdleTimeout; d > 0 {
+		at = time.Now().Add(d)
+	}
+	_ = w.e.conn.net.SetWriteDeadline(at)
+}
+
 // mayHaveBody reports whether the response may have a body.
 func (w *writer) mayHaveBody() bool {
 	return w.e.request.Method != http.MethodHead && w.status != http.StatusNoContent && w.status != http.StatusNotModified
