mesh-status shows what daemons have in force; an evacuation is tested without the store

Cause: that a data centre is evacuated was shown as a number alone, and the limit on copies of slow calls only in the metrics; the issues ask for a status. Half of the daemons cut off from the store during an evacuation had no test.

Change: a metric names each evacuated data centre; mesh-status asks daemons for their metrics and prints a line each: version, age, evacuations by name, limit on copies with what was spent, limit of the target. TestEvacuationWithoutStore: an entry and a gate without the store learn of the order and of its end from the others; it passed at once.

--- a/internal/ffcommand/main.go
+++ b/internal/ffcommand/main.go
@@ -25,16 +25,17 @@
 // arguments holds the subcommands, one per field; the one given on the command line is
 // not nil after parsing.
 type arguments struct {
-	Check     *Check     `arg:"subcommand:check" help:"print every fault of the declarations in DIR as file:line: field: message; exit 1 on any"`
-	Build     *Build     `arg:"subcommand:build" help:"write the bundle of a version (OUT/manifest and OUT/pieces/DIGEST, the keys to publish; the manifest last)"`
-	Diff      *Diff      `arg:"subcommand:diff" help:"print what changes from A to B, one line for each field"`
-	Explain   *Explain   `arg:"subcommand:explain" help:"print every limit, share, route and allowance that follows from the contract of CUSTOMER"`
-	Daemon    *Daemon    `arg:"subcommand:daemon" help:"run the process beside a target: distribute the configuration and carry the calls"`
-	Mesh      *Mesh      `arg:"subcommand:mesh" help:"run the process beside a target on the platform of the settings file"`
-	MeshCheck *MeshCheck `arg:"subcommand:mesh-check" help:"print what is wrong with a configuration for the platform, and what it changes; exit 2 on errors"`
-	Status    *Status    `arg:"subcommand:status" help:"show what the daemons have in force, per data centre, with laggards named"`
-	Audit     *Audit     `arg:"subcommand:audit" help:"print the audit trails of all daemons as JSON lines, in order of time"`
-	KeyHash   *KeyHash   `arg:"subcommand:keyhash" help:"read a key from standard input and print its SHA-256 digest for keyHashes"`
+	Check      *Check      `arg:"subcommand:check" help:"print every fault of the declarations in DIR as file:line: field: message; exit 1 on any"`
+	Build      *Build      `arg:"subcommand:build" help:"write the bundle of a version (OUT/manifest and OUT/pieces/DIGEST, the keys to publish; the manifest last)"`
+	Diff       *Diff       `arg:"subcommand:diff" help:"print what changes from A to B, one line for each field"`
+	Explain    *Explain    `arg:"subcommand:explain" help:"print every limit, share, route and allowance that follows from the contract of CUSTOMER"`
+	Daemon     *Daemon     `arg:"subcommand:daemon" help:"run the process beside a target: distribute the configuration and carry the calls"`
+	Mesh       *Mesh       `arg:"subcommand:mesh" help:"run the process beside a target on the platform of the settings file"`
+	MeshCheck  *MeshCheck  `arg:"subcommand:mesh-check" help:"print what is wrong with a configuration for the platform, and what it changes; exit 2 on errors"`
+	MeshStatus *MeshStatus `arg:"subcommand:mesh-status" help:"show what daemons on the platform have in force: version, evacuations, limits"`
+	Status     *Status     `arg:"subcommand:status" help:"show what the daemons have in force, per data centre, with laggards named"`
+	Audit      *Audit      `arg:"subcommand:audit" help:"print the audit trails of all daemons as JSON lines, in order of time"`
+	KeyHash    *KeyHash    `arg:"subcommand:keyhash" help:"read a key from standard input and print its SHA-256 digest for keyHashes"`
 }
 
 // Description returns the introduction of the help text.
--- a/internal/ffnode/metrics.go
+++ b/internal/ffnode/metrics.go
@@ -21,7 +21,11 @@
 // provideRegistry returns a registry with the metrics of the daemon's current state.
 func provideRegistry(state *ffgossip.State, reader *ffgossip.Reader, gate *ffinbound.Gate, budget *ffoutbound.RetryBudget, hedges *ffoutbound.Hedges, memory *ffmesh.Memory) (*prometheus.Registry, error) {
 	r := prometheus.NewRegistry()
-	all := []prometheus.Collector{collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{})}
+	all := []prometheus.Collector{
+		newEvacuatedCollector(state.Fleet),
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	}
 	for _, g := range []sampledMetric{
 		{"fireflyfall_word_age_seconds", "Age of what the store was last known to say.", func() float64 { return snapshotAge(state) }},
 		{"fireflyfall_word_version", "Version of the configuration in force.", func() float64 { return float64(state.Snapshot().Version()) }},
