Calls that will be in time stay in their data centre, also if they wait there

An entry looked elsewhere as soon as no near target had a free slot, of the two that it compared, though a short wait there is well within the objective.

Change: a near target in time is enough, waiting or not; three near targets and two others are compared in place of two and two (three for a long body before, so that distinction goes).

--- a/internal/ffoutbound/load_test.go
+++ b/internal/ffoutbound/load_test.go
@@ -27,7 +27,10 @@
 	// HeartbeatMs is the interval at which an entry hears of a target that it uses.
 	HeartbeatMs int
 	ObjectiveMs int
-	Phases      []loadPhase
+	// FirstShare is the share of the calls that begin in the first data centre; as many as
+	// anywhere if 0.
+	FirstShare float64
+	Phases     []loadPhase
 }
 
 // loadPhase is a time of constant load.
@@ -95,8 +98,10 @@
 	fleet   fffleet.Fleet
 	targets map[string]*simTarget
 	entries []*Picker
-	// took holds the time of each call by phase.
-	took [][]time.Duration
+	// took holds the time of each call by phase, and crossed the number of calls that went to
+	// another data centre.
+	took    [][]time.Duration
+	crossed []int
 }
 
 func newSimulation(s loadScript) *simulation {
@@ -113,7 +118,7 @@
 		vm := netip.AddrFrom4([4]byte{10, byte(i % s.DataCentres), byte(i >> 8), byte(i)})
 		sim.entries = append(sim.entries, &Picker{Location: Location{VM: vm, DataCentre: fmt.Sprint("z", i%s.DataCentres)}, Loads: &LoadTracker{}})
 	}
-	sim.took = make([][]time.Duration, len(s.Phases))
+	sim.took, sim.crossed = make([][]time.Duration, len(s.Phases)), make([]int, len(s.Phases))
 	return sim
 }
 
@@ -172,9 +177,15 @@
 	}
 	rate := s.script.Phases[phase].Load * s.capacity()
 	s.after(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), func() { s.arrive(phase, end) })
-	e := s.entries[s.rand.IntN(len(s.entries))]
+	e := s.entry()
 	c := &ffmesh.Call{Service: "s", Deadline: s.now.Add(time.Minute)}
+	if s.script.FirstShare > 0 {
+		c.Objective = s.now.Add(time.Duration(s.script.ObjectiveMs) * time.Millisecond)
+	}
 	t := s.targets[s.pick(e, c).ID]
+	if t.target.DataCentre != e.Location.DataCentre {
+		s.crossed[phase]++
+	}
 	e.Loads.startCall(t.target.VM(), c)
 	sigma := s.script.Spread
 	work := s.script.MeanMs * math.Exp(s.rand.NormFloat64()*sigma-sigma*sigma/2) / t.speed
@@ -186,6 +197,21 @@
 	t.queue = append(t.queue, call)
 }
 
+// entry returns the entry at which a call begins. The entries of the first data centre are
+// those whose index is a multiple of the number of data centres.
+func (s *simulation) entry() *Picker {
+	n := s.script.DataCentres
+	i := s.rand.IntN(len(s.entries))
+	if s.script.FirstShare == 0 {
+		return s.entries[i]
+	}
+	centre := 0
+	if s.rand.Float64() >= s.script.FirstShare {
+		centre = 1 + s.rand.IntN(n-1)
+	}
+	return s.entries[i/n*n+centre]
+}
+
 func (s *simulation) start(c *simCall) {
 	c.target.running++
 	c.started = s.now
--- a/internal/ffoutbound/picker.go
+++ b/internal/ffoutbound/picker.go
@@ -38,11 +38,8 @@
 	maxUnsampled = 12
 	// nearSamples and randomSamples are the numbers of targets sampled from the own
 	// data centre, and from all data centres.
-	nearSamples   = 2
+	nearSamples   = 3
 	randomSamples = 2
-	// nearSamplesLong replaces nearSamples for a long body, which should preferably
-	// stay in the data centre.
-	nearSamplesLong = 3
 )
 
 // Location is the location of a daemon.
@@ -84,7 +81,7 @@
 // Pick returns the cheapest target of the call's service that is not in tried, and
 // false if there is none.
 func (p *Picker) Pick(fleet fffleet.Fleet, c *ffmesh.Call, tried map[string]bool, now time.Time) (Choice, bool) {
-	targets := p.sample(p.subset(fleet, c.Service), c, tried)
+	targets := p.sample(p.subset(fleet, c.Service), tried)
 	states := make([]vmState, len(targets))
 	for i, t := range targets {
 		states[i] = p.Loads.snapshot(t.VM())
@@ -113,10 +110,10 @@
 // centre must have its objective for none elsewhere to be considered.
 const nearMargin = 1.5
 
-// inTime reports whether a call has a free slot at the chosen target, and will most probably
-// end by its objective there.
+// inTime reports whether a call will most probably end by its objective at the chosen target,
+// also if it waits for a slot there.
 func (c Choice) inTime(call *ffmesh.Call, now time.Time) bool {
-	return c.Cost > 0 && c.Wait == 0 && !now.Add(time.Duration(nearMargin*float64(c.Cost))).After(call.Objective)
+	return c.Cost > 0 && !now.Add(time.Duration(nearMargin*float64(c.Cost))).After(call.Objective)
 }
 
 // subset returns the targets of a service that this entry uses.
@@ -165,7 +162,7 @@
 
 // sample returns the targets to compare that were not tried: all of them or, of many,
 // the one on this VM, some in its data centre, and some random ones.
-func (p *Picker) sample(serving []fffleet.Target, c *ffmesh.Call, tried map[string]bool) []fffleet.Target {
+func (p *Picker) sample(serving []fffleet.Target, tried map[string]bool) []fffleet.Target {
 	untried := make([]fffleet.Target, 0, len(serving))
 	for _, t := range serving {
 		if !tried[t.ID] {
@@ -176,15 +173,11 @@
 		return untried
 	}
 	rand.Shuffle(len(untried), func(i, j int) { untried[i], untried[j] = untried[j], untried[i] })
-	maxNear := nearSamples
-	if c.HasLongBody() {
-		maxNear = nearSamplesLong
-	}
 	sampled := randomSamples
 	near := 0
 	for i := randomSamples; i < len(untried); i++ {
 		own := untried[i].VM() == p.Location.VM
-		if own || near < maxNear && untried[i].DataCentre == p.Location.DataCentre {
+		if own || near < nearSamples && untried[i].DataCentre == p.Location.DataCentre {
 			untried[sampled], untried[i] = untried[i], untried[sampled]
 			sampled++
 			near++
