--- a/internal/ffdeployment/usage.go
+++ b/internal/ffdeployment/usage.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-	dto "github.com/prometheus/client_model/go"
-	"github.com/prometheus/common/expfmt"
-	"github.com/prometheus/common/model"
+	"fireflyfall.dev/fireflyfall/internal/ffscrape"
 )
 
 // Names of the metrics that measure the resource usage of a daemon.
@@ -32,36 +28,9 @@
 
 // Usage reads the resource usage from the daemon's metrics.
 func (n *Node) Usage(ctx context.Context) (Usage, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ports.operator+"/metrics", nil)
+	m, err := ffscrape.Read(ctx, n.ports.operator)
 	if err != nil {
 		return Usage{}, &Error{Op: "read usage", Kind: KindProcess, Err: err}
 	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return Usage{}, &Error{Op: "read usage", Kind: KindProcess, Err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return Usage{}, &Error{Op: "read usage", Kind: KindProcess, Err: merry.New(response.Status)}
-	}
-	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(response.Body)
-	if err != nil {
-		return Usage{}, &Error{Op: "read usage", Kind: KindProcess, Err: err}
-	}
-	return Usage{
-		At:          time.Now(),
-		CPUSeconds:  sum(families[cpuMetric]),
-		MemoryBytes: sum(families[memoryMetric]),
-		PeerBytes:   sum(families[peerMetric]),
-	}, nil
-}
-
-// sum returns the sum of all counters and gauges of a metric family.
-func sum(family *dto.MetricFamily) float64 {
-	total := 0.0
-	for _, m := range family.GetMetric() {
-		total += m.GetCounter().GetValue() + m.GetGauge().GetValue()
-	}
-	return total
+	return Usage{At: time.Now(), CPUSeconds: m.Sum(cpuMetric), MemoryBytes: m.Sum(memoryMetric), PeerBytes: m.Sum(peerMetric)}, nil
 }
--- /dev/null
+++ b/internal/ffscrape/doc.go
@@ -0,0 +1,2 @@
+// Package ffscrape reads the metrics of a running daemon.
+package ffscrape
