--- a/internal/ffcommand/meshcheck.go
+++ b/internal/ffcommand/meshcheck.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"fireflyfall.dev/fireflyfall/internal/ffgossip"
 	"fireflyfall.dev/fireflyfall/internal/ffroute"
 	"fireflyfall.dev/fireflyfall/platform"
 )
@@ -17,6 +18,7 @@
 type MeshCheck struct {
 	File    string `arg:"positional,required" placeholder:"FILE" help:"configuration as it is written to the store, JSON"`
 	InForce string `arg:"--in-force" placeholder:"FILE" help:"the version in force; prints what changes for requests"`
+	From    string `arg:"--from" placeholder:"HOST:PORT" help:"peer address of a daemon that has the version in force, in place of a file"`
 	Strict  bool   `arg:"--strict" help:"exit 1 on warnings"`
 	JSON    bool   `arg:"--json" help:"print one JSON document"`
 }
@@ -37,7 +39,10 @@
 
 // Run prints the findings and the changes. It fails if there are errors or, with --strict,
 // warnings.
-func (m *MeshCheck) Run(_ context.Context, stdout, _ io.Writer) error {
+func (m *MeshCheck) Run(ctx context.Context, stdout, _ io.Writer) error {
+	if m.InForce != "" && m.From != "" {
+		return &Error{Op: "mesh-check", Kind: KindUsage, Err: merry.New("--in-force and --from exclude each other")}
+	}
 	b, err := os.ReadFile(m.File)
 	if err != nil {
 		return &Error{Op: "mesh-check", Kind: KindInvalid, Err: err}
@@ -53,7 +58,7 @@
 		}
 		report.Findings = append(report.Findings, meshFinding{Line: f.Line, Severity: f.Severity.String(), Field: f.Path, Message: f.Message})
 	}
-	if report.Changes, err = m.changes(table); err != nil {
+	if report.Changes, err = m.changes(ctx, table); err != nil {
 		return err
 	}
 	if err := m.print(stdout, report); err != nil {
@@ -69,19 +74,37 @@
 }
 
 // changes returns what changes for requests if table follows the version in force.
-func (m *MeshCheck) changes(table *ffroute.Table) ([]string, error) {
-	if m.InForce == "" || table == nil {
+func (m *MeshCheck) changes(ctx context.Context, table *ffroute.Table) ([]string, error) {
+	if table == nil || m.InForce == "" && m.From == "" {
 		return []string{}, nil
 	}
+	base, err := m.inForce(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return append([]string{}, table.Effects(base)...), nil
+}
+
+// inForce returns the version in force, from a file or from a running daemon.
+func (m *MeshCheck) inForce(ctx context.Context) (*ffroute.Table, error) {
+	if m.From != "" {
+		ctx, cancel := context.WithTimeout(ctx, meshTimeout)
+		defer cancel()
+		table, err := ffgossip.ReadTable(ctx, m.From)
+		if err != nil {
+			return nil, &Error{Op: "mesh-check", Kind: KindFailed, Err: err}
+		}
+		return table, nil
+	}
 	b, err := os.ReadFile(m.InForce)
 	if err != nil {
 		return nil, &Error{Op: "mesh-check", Kind: KindInvalid, Err: err}
 	}
-	base, err := platform.ReadConfig(b)
+	table, err := platform.ReadConfig(b)
 	if err != nil {
 		return nil, &Error{Op: "mesh-check", Kind: KindInvalid, Err: merry.Prependf(err, "%s", m.InForce)}
 	}
-	return append([]string{}, table.Effects(base)...), nil
+	return table, nil
 }
 
 // print prints a report, one line for each finding and change.
--- a/internal/ffcommand/meshstatus.go
+++ b/internal/ffcommand/meshstatus.go
@@ -13,8 +13,8 @@
 	"fireflyfall.dev/fireflyfall/internal/ffscrape"
 )
 
-// meshStatusTimeout bounds the question to one daemon.
-const meshStatusTimeout = 5 * time.Second
+// meshTimeout bounds a question to one daemon of the mesh.
+const meshTimeout = 5 * time.Second
 
 // MeshStatus prints what daemons on the users' platform have in force.
 type MeshStatus struct {
@@ -39,7 +39,7 @@
 
 // printMeshStatus prints the line of the daemon whose metrics are at address.
 func printMeshStatus(ctx context.Context, w io.Writer, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, meshStatusTimeout)
+	ctx, cancel := context.WithTimeout(ctx, meshTimeout)
 	defer cancel()
 	m, err := ffscrape.Read(ctx, address)
 	if err != nil {
