Bodies of requests do not count as unread responses

Change: responses alone decide; a caller that is no longer listed is told apart by name in the schedule of heartbeats.

Result: TestMemory with the new check failed before.

--- a/internal/ffmesh/memory.go
+++ b/internal/ffmesh/memory.go
@@ -6,7 +6,8 @@
 // responses that their clients have not read yet. A nil Memory has no limit.
 type Memory struct {
 	limit int64
-	used  atomic.Int64
+	// used counts all bytes in memory, and held those of them that are held in any case.
+	used, held atomic.Int64
 }
 
 // NewMemory returns a limit of the given number of bytes, but at least MaxBufferedBody.
@@ -37,7 +38,11 @@
 		return func() {}
 	}
 	m.used.Add(bytes)
-	return func() { m.used.Add(-bytes) }
+	m.held.Add(bytes)
+	return func() {
+		m.used.Add(-bytes)
+		m.held.Add(-bytes)
+	}
 }
 
 // Used returns the number of bytes in memory.
@@ -48,5 +53,6 @@
 	return m.used.Load()
 }
 
-// Overdrawn reports whether more is in memory than the limit allows.
-func (m *Memory) Overdrawn() bool { return m != nil && m.used.Load() > m.limit }
+// Overdrawn reports whether what is held in any case alone is beyond the limit. Bodies that
+// were reserved do not count: many long ones must not keep out requests without a body.
+func (m *Memory) Overdrawn() bool { return m != nil && m.held.Load() > m.limit }
--- a/internal/ffmesh/memory_test.go
+++ b/internal/ffmesh/memory_test.go
@@ -23,6 +23,11 @@
 	if _, ok := m.Reserve(0); !ok {
 		t.Error("no memory for a request without a body, which needs none")
 	}
+	read := m.Hold(1)
+	if m.Overdrawn() {
+		t.Error("bodies of requests count as unread responses")
+	}
+	read()
 	first()
 	if _, ok := m.Reserve(1); !ok {
 		t.Error("no memory after a release")
--- a/internal/ffoutbound/handler.go
+++ b/internal/ffoutbound/handler.go
@@ -138,11 +138,8 @@
 	if table.Limits.BodyBytes > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, table.Limits.BodyBytes)
 	}
-	release, ok := h.Memory.Reserve(r.ContentLength)
-	if !ok || h.Memory.Overdrawn() {
-		if ok {
-			release()
-		}
+	release, ok := h.reserve(r.ContentLength)
+	if !ok {
 		h.refuse(w, r, http.StatusServiceUnavailable, "memory", unavailableRetryIn)
 		return
 	}
@@ -165,6 +162,15 @@
 	h.respond(w, run)
 }
 
+// reserve reserves memory for a request with a body of the given length, and reports whether
+// the request can be accepted.
+func (h *Handler) reserve(length int64) (release func(), ok bool) {
+	if h.Memory.Overdrawn() {
+		return nil, false
+	}
+	return h.Memory.Reserve(length)
+}
+
 // newCall builds the call for a request, without its body.
 func (h *Handler) newCall(r *http.Request, route *ffroute.Route, received time.Time) *ffmesh.Call {
 	id, timeout := h.Dialect.Attempt(r.Header)
--- a/internal/ffpartner/schedule.go
+++ b/internal/ffpartner/schedule.go
@@ -114,7 +114,7 @@
 	}
 	var callers []netip.Addr
 	for vm, at := range s.callers {
-		if now.Sub(at) > kept[vm] {
+		if d, exists := kept[vm]; !exists || now.Sub(at) > d {
 			delete(s.callers, vm)
 			continue
 		}
