The replay of a cold target runs no timer beside its own clock

Cause: TestCrests/everything_cold panicked twice here: a gate that paces sets a timer, which dispatched by the real clock in another goroutine while the replay used the gate without its lock.

Change: the replay gives the gate a timer that runs nothing. The bounds are the same.

--- a/internal/ffinbound/crest_test.go
+++ b/internal/ffinbound/crest_test.go
@@ -68,6 +68,8 @@
 	g := &Gate{Target: crestTarget{l.Slots, l.tolerance()}, slots: l.Slots}
 	g.target, _ = g.Target.LocalTarget()
 	g.warmup = g.warmup.WithTolerance(l.tolerance()).WithDoubt(start)
+	// The replay dispatches by its own clock; this timer runs nothing.
+	g.wake = time.NewTimer(0)
 	counts := make([]crestCounts, len(l.Classes))
 	var waiting, running []*crestCall
 	for ms := range l.ForMs {
