--- a/internal/ffpipeline/slowreader_test.go
+++ b/internal/ffpipeline/slowreader_test.go
@@ -81,3 +81,25 @@
 		})
 	}
 }
+
+// TestContinueAfterIdleTime guards against a connection that ends because its last response was
+// sent longer ago than it may be idle, though the client has sent a request since.
+func TestContinueAfterIdleTime(t *testing.T) {
+	const idle = 400 * time.Millisecond
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > 0 {
+			<-time.After(idle)
+		}
+		_, _ = io.Copy(w, r.Body)
+	})
+	limits := func() ffpipeline.Limits { return ffpipeline.Limits{IdleTimeout: idle} }
+	c := dial(t, serve(t, &ffpipeline.Server{Handler: h, Limits: limits}))
+	r := bufio.NewReader(c)
+	send(t, c, get("/first"))
+	receive(t, r)
+	<-time.After(idle / 4)
+	send(t, c, "POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+	if line, err := r.ReadString('\n'); err != nil || !strings.Contains(line, "100 Continue") {
+		t.Fatalf("%q, %v", line, err)
+	}
+}
--- a/internal/ffpipeline/writer.go
+++ b/internal/ffpipeline/writer.go
@@ -117,8 +117,7 @@
 	if err := w.awaitTurn(); err != nil {
 		return err
 	}
-	_, err := w.e.conn.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-	return err
+	return w.send(bytes.NewBufferString("HTTP/1.1 100 Continue\r\n\r\n"))
 }
 
 func (w *writer) awaitTurn() error {
