--- a/internal/fffloor/floor.go
+++ b/internal/fffloor/floor.go
@@ -10,8 +10,8 @@
 	// leastShare is the share of the rate at which all calls are served that every class
 	// gets. The promise is a quarter; the rest is for calls that are granted and then lost.
 	leastShare = 1.0 / 3
-	// memory is the time constant with which calls are forgotten.
-	memory = 2 * time.Second
+	// callDecay is the time constant with which calls are forgotten.
+	callDecay = 2 * time.Second
 	// maxClasses limits the classes that are remembered; that with the fewest calls is
 	// forgotten first.
 	maxClasses = 32
@@ -72,7 +72,7 @@
 func (f Floor) decayed(now time.Time) Floor {
 	keep := 1.0
 	if !f.at.IsZero() {
-		keep = math.Exp(-now.Sub(f.at).Seconds() / memory.Seconds())
+		keep = math.Exp(-now.Sub(f.at).Seconds() / callDecay.Seconds())
 	}
 	classes := make([]class, len(f.classes), len(f.classes)+1)
 	for i, c := range f.classes {
