--- a/review/_rig2/slowreader.go
+++ b/review/_rig2/slowreader.go
@@ -47,13 +47,7 @@
 	}
 	time.Sleep(stableWindow + time.Second)
 	entry := f.machines[0]
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
-		})
-	}}
-	c, err := dialer.Dial("tcp4", entry.outbound())
+	c, err := slowDialer().Dial("tcp4", entry.outbound())
 	if err != nil {
 		return noRun, err
 	}
@@ -126,3 +120,14 @@
 	}
 	return nil
 }
+
+// slowDialer returns a dialer whose connections have the segments of a usual network and a
+// small window.
+func slowDialer() *net.Dialer {
+	return &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+		})
+	}}
+}
