--- a/review/_rig2/refusedlater.go
+++ b/review/_rig2/refusedlater.go
@@ -15,9 +15,9 @@
 
 const (
 	// photoBytes is the length of a long upload, and busyCalls the number of calls that take
-	// all slots of both workers for busyWork.
+	// all slots of both workers for busyWork; one or two of them wait.
 	photoBytes = 1_700_000
-	busyCalls  = 12
+	busyCalls  = 14
 	busyWork   = 600 * time.Millisecond
 )
 
