--- a/review/_rig2/fleet.go
+++ b/review/_rig2/fleet.go
@@ -104,6 +104,9 @@
 
 // machine is one machine.
 type machine struct {
+	// window is the receive buffer of the worker, in bytes; 0 for that of the system.
+	window int
+
 	fleet                      *fleet
 	name, ip, zone, service    string
 	peers, callers, ready, app int
--- a/review/_rig2/slowbody.go
+++ b/review/_rig2/slowbody.go
@@ -12,26 +12,33 @@
 
 func init() { cases["slowbody"] = slowBody }
 
+// The requests are placement-confirms of hanul-roster-grown with the longest body of the site.
+// A slow worker reads firstBytes of a body, pauses, and then reads on.
 const (
-	// uploadBytes is the length of an upload, of which a slow worker reads firstBytes, pauses
-	// and then reads on.
-	uploadBytes = 360_000
-	firstBytes  = 64 << 10
-	readPause   = 1500 * time.Millisecond
-	uploads     = 3
-	// termAfter is the time between the uploads and SIGTERM.
+	confirmBytes = 24_000
+	firstBytes   = 2_000
+	readPause    = 1350 * time.Millisecond
+	confirms     = 3
+	// confirmDeadline is how long the consumer waits.
+	confirmDeadline = 1500 * time.Millisecond
+	// nearDeadline is how long before it the deadline counts as reached.
+	nearDeadline = 100 * time.Millisecond
+	// termAfter is the time between the requests and SIGTERM.
 	termAfter = 200 * time.Millisecond
+	// workerWindow is the buffer for what a worker hasn't read, as on the users' links.
+	workerWindow = 4 << 10
 )
 
-// slowBody: a daemon gets SIGTERM while a worker on another machine works on uploads, which it
-// reads slowly.
+// slowBody: a daemon gets SIGTERM while a worker on another machine works on requests whose
+// bodies it reads slowly.
 func slowBody(f *fleet, trouble bool) (int, error) {
 	if err := f.addMachines("wallet", "ledger"); err != nil {
 		return noRun, err
 	}
-	f.putConfig(7, route{name: "photo", kind: "upload", service: "ledger", timeoutS: 6})
+	f.putConfig(7, route{name: "confirm", kind: "unsafe", service: "ledger", timeoutS: 1.5})
 	for i, m := range f.machines {
-		if _, err := m.startWorker(fmt.Sprintf("i-%d", i+1), time.Now().UnixMilli(), answerUpload(trouble)); err != nil {
+		m.window = workerWindow
+		if _, err := m.startWorker(fmt.Sprintf("i-%d", i+1), time.Now().UnixMilli(), answerConfirm(trouble)); err != nil {
 			return noRun, err
 		}
 	}
@@ -40,49 +47,51 @@
 	}
 	time.Sleep(stableWindow + time.Second)
 	entry := f.machines[0]
-	statuses := make(chan string, uploads)
-	for i := range uploads {
-		go func() { statuses <- upload(f, entry, fmt.Sprint("u", i)) }()
+	ends := make(chan bool, confirms)
+	for i := range confirms {
+		go func() { ends <- confirm(f, entry, fmt.Sprint("c", i)) }()
 	}
 	time.Sleep(termAfter)
 	entry.terminate()
 	brokenOff := 0
-	for range uploads {
-		if status := <-statuses; status != "200" {
+	for range confirms {
+		if <-ends {
 			brokenOff++
 		}
 	}
 	time.Sleep(readPause)
-	f.record.add("judge     %d of %d uploads were broken off while their worker was at work", brokenOff, uploads)
+	f.record.add("judge     %d of %d requests were broken off while their worker was at work", brokenOff, confirms)
 	if brokenOff > 0 {
 		return broken, nil
 	}
 	return held, nil
 }
 
-// upload sends one upload and returns the status of the answer.
-func upload(f *fleet, entry *machine, id string) string {
+// confirm sends one request and reports whether it was broken off before its deadline.
+func confirm(f *fleet, entry *machine, id string) bool {
 	c, err := net.Dial("tcp4", entry.outbound())
 	if err != nil {
-		return err.Error()
+		f.record.add("consumer  %s is not sent: %v", id, err)
+		return false
 	}
 	defer func() { _ = c.Close() }()
-	f.record.add("consumer  sends %s, %d bytes, and waits up to 5 s", id, uploadBytes)
-	fmt.Fprintf(c, "POST /photo/%s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n", id, host, id, uploadBytes)
-	if _, err := c.Write(bytes.Repeat([]byte("p"), uploadBytes)); err != nil {
-		return err.Error()
-	}
+	f.record.add("consumer  sends %s, %d bytes, and waits up to %v", id, confirmBytes, confirmDeadline)
+	started := time.Now()
+	fmt.Fprintf(c, "PUT /confirm/%s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", id, host, id, confirmDeadline.Milliseconds(), confirmBytes)
+	_, _ = c.Write(bytes.Repeat([]byte("p"), confirmBytes))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	elapsed := time.Since(started)
+	early := elapsed < confirmDeadline-nearDeadline
 	if err != nil {
-		f.record.add("consumer  %s has no answer: %v", id, err)
-		return err.Error()
+		f.record.add("consumer  %s has no answer after %.2f s: %v", id, elapsed.Seconds(), err)
+		return early
 	}
-	f.record.add("consumer  %s is answered with %d, signature %q", id, resp.StatusCode, resp.Header.Get("X-Response-Signature"))
-	return fmt.Sprint(resp.StatusCode)
+	f.record.add("consumer  %s is answered with %d after %.2f s, signature %q", id, resp.StatusCode, elapsed.Seconds(), resp.Header.Get("X-Response-Signature"))
+	return early && resp.StatusCode != http.StatusOK
 }
 
-// answerUpload reads a body and answers. With trouble it reads slowly.
-func answerUpload(trouble bool) func(*worker, net.Conn, *http.Request) bool {
+// answerConfirm reads a body and answers. With trouble it reads slowly.
+func answerConfirm(trouble bool) func(*worker, net.Conn, *http.Request) bool {
 	return func(w *worker, c net.Conn, r *http.Request) bool {
 		id := r.Header.Get("X-Attempt-Id")
 		w.machine.fleet.record.add("%-9s begins to work on %s", w.id, id)
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -31,7 +33,7 @@
 
 // startWorker starts a worker on m that says that it was born at a Unix time in milliseconds.
 func (m *machine) startWorker(id string, born int64, handle func(*worker, net.Conn, *http.Request) bool) (*worker, error) {
-	l, err := net.Listen("tcp4", m.appAddress())
+	l, err := m.listen()
 	if err != nil {
 		return nil, err
 	}
@@ -45,6 +47,19 @@
 	return w, nil
 }
 
+// listen opens the worker's port. With a window of its own, all its connections have that.
+func (m *machine) listen() (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		if m.window == 0 {
+			return nil
+		}
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, m.window)
+		})
+	}}
+	return config.Listen(context.Background(), "tcp4", m.appAddress())
+}
+
 // beat writes the worker's entry to the store.
 func (w *worker) beat() {
 	w.mu.Lock()
