--- a/review/_rig2/slowreader.go
+++ b/review/_rig2/slowreader.go
@@ -19,11 +19,11 @@
 const (
 	slowAnswers     = 16
 	slowAnswerBytes = 30_000
-	readAfter       = 1800 * time.Millisecond
+	readAfter       = 2200 * time.Millisecond
 	slowDeadline    = 2500 * time.Millisecond
 	// sentAfter is the time between SIGTERM and the requests, when the platform has seen at
 	// most one miss.
-	sentAfter = 1300 * time.Millisecond
+	sentAfter = 900 * time.Millisecond
 	// segmentBytes and windowBytes make the consumer's connection like one on a usual network,
 	// where loopback would hold some megabytes.
 	segmentBytes = 1448
