Responses with a status below 100 end their exchange

What callers saw: a target answered with status 000. What stood in the body of that answer was taken for the answer if it looked like one, and the client got it with status 200; otherwise the client waited for another answer until its deadline and got 504.

Cause: http.ReadResponse accepts any three digits, and a sign with two. The exchange took each status below 200 for that of an interim response, skipped its head and read the next head from the connection, which is the body.

Change: ffhead.CheckResponse refuses the head of a response with a status below 100. Both places in ffhop that read heads use it. The exchange ends as broken, its connection is closed, and the client gets 502 at once, as with any other answer that cannot be read.

Evidence: TestBrokenHead, without the change: "safe status 000 before another head: got 200 "a"", the same for the unsafe request, and 504 after 1.50 s for the other six requests.

--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffhead"
 )
 
 // maxDrainBytes and maxDrainTime bound a body that is read only to reuse its connection.
@@ -110,7 +112,7 @@
 			return nil, err
 		}
 		_ = e.conn.net.SetReadDeadline(time.Now().Add(r.ContinueTimeout))
-		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
+		resp, err := e.readHead()
 		if err != nil || resp.StatusCode != http.StatusProcessing {
 			return resp, err
 		}
@@ -141,6 +143,16 @@
 	return &Error{Op: op, Kind: kind, Err: err}
 }
 
+// readHead reads the head of the next response, final or interim, and fails if it is not
+// valid: a response must not be skipped as an interim one unless it is.
+func (e *Exchange) readHead() (*http.Response, error) {
+	resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, ffhead.CheckResponse(resp)
+}
+
 // Receive reads the head of the final response and skips interim ones. On error
 // the connection is closed.
 func (e *Exchange) Receive() (*http.Response, error) {
@@ -151,7 +163,7 @@
 		return nil, e.fail("await first byte", err)
 	}
 	for {
-		resp, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.method})
+		resp, err := e.readHead()
 		if err != nil {
 			return nil, e.fail("receive", err)
 		}
