--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -167,7 +167,7 @@
 		if err != nil {
 			return nil, e.fail("receive", err)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			e.conn.head.end()
 			return resp, nil
 		}
