A response without a length is not complete after a reset

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being sent. The client got that part as the whole answer, with status 200.

Cause: the system reports a reset, or a time-out of a connection, once, to the first read or write after it. Bodies are sent in the background. If a write got the error, the next read got what looks like a regular end, and that is how a body without a length ends.

Change: the writes of a body record their error. At the end of a body without a length the sending is stopped, and if a write got an error, the response is broken and the client gets 502. EPIPE is left out: a write gets it only if the peer had ended its side regularly before, and then the response is whole. With a length or in chunks a body was never taken for whole.

Evidence: ffhop TestEarlyResponse, without the change: "reset late=true": got "part", <nil>. The other rows of TestEarlyResponse passed before: a response that ended regularly stays whole, also if a reset follows.

Why it works: a read gets a regular end without one only if another call got the error, and nothing but the sending of the body makes other calls. The lock around each write lets the reader wait for one in progress, which a write deadline in the past ends at once.

--- /dev/null
+++ b/internal/ffhop/earlyresponse_test.go
@@ -0,0 +1,97 @@
+package ffhop
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// partialResponse is the beginning of a response without a length.
+const partialResponse = "HTTP/1.1 200 OK\r\n\r\npart"
+
+// settleTime is the time after which a peer's close of the connection has arrived.
+const settleTime = 100 * time.Millisecond
+
+// startEarlyPeer starts a server that sends partialResponse on one connection before it reads
+// anything, and then ends the connection with end.
+func startEarlyPeer(t *testing.T, end func(*net.TCPConn)) *Pool {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = io.WriteString(c, partialResponse)
+		<-time.After(settleTime)
+		end(c.(*net.TCPConn))
+	}()
+	return &Pool{Address: l.Addr().String(), Dialer: NewDialer(time.Second), MaxIdle: 1}
+}
+
+// endings are the ways in which an early peer ends the connection, and whether its response
+// is complete then.
+func endings() map[string]struct {
+	end      func(*net.TCPConn)
+	complete bool
+} {
+	reset := func(c *net.TCPConn) {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+	return map[string]struct {
+		end      func(*net.TCPConn)
+		complete bool
+	}{
+		"reset": {reset, false},
+		"end":   {func(c *net.TCPConn) { _ = c.CloseWrite() }, true},
+		"end and then a reset": {func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			<-time.After(settleTime)
+			reset(c)
+		}, true},
+	}
+}
+
+// TestEarlyResponse checks that a response without a length, during whose request's body the
+// connection ends, counts as complete only after a regular end. It is read at once, or after
+// the sending of the body has met what ended the connection.
+func TestEarlyResponse(t *testing.T) {
+	t.Parallel()
+	const length = 64 << 20
+	for name, tc := range endings() {
+		for _, late := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s late=%v", name, late), func(t *testing.T) {
+				t.Parallel()
+				conn, err := startEarlyPeer(t, tc.end).Get(t.Context(), time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				e, err := conn.Start(t.Context(), &Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, length)})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer e.Abort()
+				resp, err := e.Receive()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if late {
+					<-time.After(4 * settleTime)
+				}
+				body, err := io.ReadAll(resp.Body)
+				if complete := err == nil; complete != tc.complete || complete && string(body) != "part" {
+					t.Errorf("got %q, %v", body, err)
+				}
+			})
+		}
+	}
+}
--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -25,7 +25,9 @@
 	release    func() bool
 	method     string
 	bodyResult chan error
-	sentAny    bool
+	// sender sends the body in the background; nil if that was not needed.
+	sender  *sender
+	sentAny bool
 	// earlyResponse is a final response received instead of "100 Continue".
 	earlyResponse *http.Response
 	// firstByteDeadline is when onSilent is called unless the peer has sent a byte;
@@ -157,7 +159,7 @@
 // the connection is closed.
 func (e *Exchange) Receive() (*http.Response, error) {
 	if e.earlyResponse != nil {
-		return e.earlyResponse, nil
+		return e.checkEnd(e.earlyResponse), nil
 	}
 	if err := e.awaitFirstByte(); err != nil {
 		return nil, e.fail("await first byte", err)
@@ -169,7 +171,7 @@
 		}
 		if resp.StatusCode >= http.StatusOK {
 			e.conn.head.end()
-			return resp, nil
+			return e.checkEnd(resp), nil
 		}
 	}
 }
--- a/internal/ffhop/sendbody.go
+++ b/internal/ffhop/sendbody.go
@@ -17,6 +17,7 @@
 
 func (e *Exchange) startBody(r *Request, stream io.Reader) {
 	e.bodyResult = make(chan error, 1)
+	e.sender = &sender{net: e.conn.net}
 	go e.writeBody(r, stream)
 }
 
@@ -24,7 +25,7 @@
 // closes the connection if the stream or the sending of it fails.
 func (e *Exchange) writeBody(r *Request, stream io.Reader) {
 	if stream == nil {
-		_, err := e.conn.net.Write(r.Body)
+		_, err := e.sender.Write(r.Body)
 		e.bodyResult <- err
 		return
 	}
@@ -44,17 +45,15 @@
 		}
 	}()
 	if length < 0 {
-		return writeChunked(e.conn.net, body)
+		return writeChunked(e.sender, body)
 	}
-	n, err := io.CopyBuffer(onlyWriter{e.conn.net}, io.LimitReader(body, length), make([]byte, streamBufferSize))
+	n, err := io.CopyBuffer(e.sender, io.LimitReader(body, length), make([]byte, streamBufferSize))
 	if err == nil && n < length {
 		err = io.ErrUnexpectedEOF
 	}
 	return err
 }
 
-type onlyWriter struct{ io.Writer }
-
 // writeChunked sends r in chunked encoding. The last chunk is sent only if r was
 // read to its end.
 func writeChunked(w io.Writer, r io.Reader) error {
