A reply whose head has an invalid field is no reply of a target

What callers saw: with `fireflyfall daemon`, a target answered with "Transfer-Encoding : chunked" (a blank behind the name) and a length. The caller got it as a reply that ran, with the sizes of the chunks as part of the body. Found by looking at the other places that read answers.

Cause: as in the exchanges of ffhop: net/http accepts blanks in the names of fields.

Change: fftarget checks the fields of a response before anything in it counts, also before a rejection does. The call ends with KindTruncated and an unknown outcome.

Evidence: without the change TestErrorKinds/blank: "unknown ran (<nil>), want truncated unknown", and TestCallRunsAtMostOnce gets such a reply without an error. With it both pass.

Measured: go test of fftarget and ffcaller passes. `fireflyfall mesh` does not use fftarget.

--- a/internal/fftarget/attempt.go
+++ b/internal/fftarget/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
+	"fireflyfall.dev/fireflyfall/internal/ffhead"
 )
 
 // attempt tracks the connections that net/http uses for one request.
@@ -76,6 +77,9 @@
 		return nil, failure
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := ffhead.CheckFields(resp.Header); err != nil {
+		return nil, a.fail(ctx, ffcall.KindTruncated, err)
+	}
 	body, kind, err := c.readBody(resp)
 	if err != nil {
 		return nil, a.fail(ctx, kind, err)
--- a/internal/fftarget/client_test.go
+++ b/internal/fftarget/client_test.go
@@ -44,7 +44,7 @@
 
 var behaviours = []string{
 	behaviourAnswer, behaviourChunked, behaviourDrop, behaviourNone,
-	behaviourCut, behaviourUnmarked, behaviourShed,
+	behaviourCut, behaviourUnmarked, behaviourShed, behaviourBlank,
 }
 
 // allowed reports whether a call with the behaviour may have this result after the
@@ -92,6 +92,7 @@
 		behaviourCut:      "truncated unknown",
 		behaviourUnmarked: "truncated unknown",
 		behaviourShed:     "overload notRun",
+		behaviourBlank:    "truncated unknown",
 		behaviourSilent:   "deadline unknown",
 	}
 	for behaviour, end := range want {
