--- a/internal/fftarget/client_test.go
+++ b/internal/fftarget/client_test.go
@@ -92,6 +92,7 @@
 		behaviourCut:      "truncated unknown",
 		behaviourUnmarked: "truncated unknown",
 		behaviourShed:     "overload notRun",
+		behaviourZero:     "unknown ran",
 		behaviourBlank:    "truncated unknown",
 		behaviourSilent:   "deadline unknown",
 	}
--- a/internal/fftarget/script_test.go
+++ b/internal/fftarget/script_test.go
@@ -18,6 +18,7 @@
 	behaviourCut      = "cut"      // half of the response body
 	behaviourUnmarked = "unmarked" // response without a length or chunked encoding
 	behaviourShed     = "shed"     // response that reports the call as not run
+	behaviourZero     = "zero"     // complete response with status 000
 	behaviourBlank    = "blank"    // complete response with a blank behind the name of a header
 	behaviourSilent   = "silent"   // no response until the client closes the connection
 )
@@ -115,6 +116,9 @@
 	case behaviourShed:
 		_, err := fmt.Fprint(c, "HTTP/1.1 503 Busy\r\nFireflyfall-Outcome: notRun\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
+	case behaviourZero:
+		_, err := fmt.Fprintf(c, "HTTP/1.1 000 OK\r\nContent-Length: %d\r\n\r\n%s", len(content), content)
+		return err == nil
 	case behaviourBlank:
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: %d\r\n\r\n%s", len(content), content)
 		return err == nil
