A response of the platform with an invalid head is not read

What callers saw: nothing yet; found by looking at the other places that read answers. With `fireflyfall daemon`, a response of the platform with "Transfer-Encoding : chunked" (a blank behind the name) and a length was read as a list of VMs.

Cause: net/http accepts blanks in the names of fields and does not follow such a field.

Change: the client checks each head with ffhead.CheckResponse. The response counts as malformed, and the next address is asked.

Evidence: TestBrokenHead of ffplatform, without the change: that head gives a list of revision 5 and no error. A blank behind the name of the revision's header and status 000 were refused before; their cases are kept.

Measured: go test of ffplatform passes. `fireflyfall mesh` does not use this package.

--- a/internal/ffplatform/query.go
+++ b/internal/ffplatform/query.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffhead"
 )
 
 const (
@@ -49,8 +51,11 @@
 	return &Error{Op: q.op, Kind: kind, Key: q.key, Err: err}
 }
 
-// decode returns the value of a response to q, or the error for its status.
+// decode returns the value of a response to q, or the error for its head.
 func (q query) decode(resp *http.Response) (Value, *Error) {
+	if err := ffhead.CheckResponse(resp); err != nil {
+		return Value{}, q.fail(KindMalformed, err)
+	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return q.decodeValue(resp)
