An answer with an invalid head is an error of the client library

What callers saw: the client library returned an answer with status 000, or one with a blank in the name of a field, as an answer that ran. Found by looking at the other places that read answers.

Cause: net/http accepts both.

Change: ffclient checks each head with ffhead.CheckResponse. The call ends with KindTransport and an unknown outcome.

--- a/pkg/ffclient/client.go
+++ b/pkg/ffclient/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"fireflyfall.dev/fireflyfall/internal/ffhead"
 )
 
 // onceRetryInterval is the time between two attempts with one token.
@@ -66,6 +68,9 @@
 		return nil, &Error{Op: "call", Kind: KindTransport, Outcome: outcomeOf(sent.Load() > 0, r), Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := ffhead.CheckResponse(response); err != nil {
+		return nil, &Error{Op: "read answer", Kind: KindTransport, Outcome: OutcomeUnknown, Err: err}
+	}
 	body, err := c.readBody(response.Body)
 	if err != nil {
 		return nil, &Error{Op: "read answer", Kind: KindTransport, Outcome: OutcomeUnknown, Err: err}
