An answer without a length is an error of the client library

What callers saw: a server answered an upload at once with a 200 that had no length, sent part of its body and reset the connection. The client library returned that part as an answer that ran. Found by looking at the other places that read answers.

Cause: net/http sends the body in the background and has the same fault as ffhop had: the write gets the error and the read a regular end.

Change: daemons send each answer with a length or in chunks, so one that has neither is refused; the call ends with KindTransport and an unknown outcome. fftarget refuses such responses already, with the same function, which has moved to ffhead. It accepts a compressed body, which tells its end itself; fftarget never asks for one.

--- a/internal/ffhead/response.go
+++ b/internal/ffhead/response.go
@@ -14,3 +14,9 @@
 	}
 	return CheckFields(resp.Header)
 }
+
+// IsDelimited reports whether a truncated body of a response is detected: the response gives
+// its length, is chunked, has no body, or had one that was compressed.
+func IsDelimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody || resp.Uncompressed
+}
--- a/internal/fftarget/reply.go
+++ b/internal/fftarget/reply.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"fireflyfall.dev/fireflyfall/internal/ffcall"
+	"fireflyfall.dev/fireflyfall/internal/ffhead"
 )
 
 // readBody returns the complete body of a response, or the kind of the error.
@@ -18,7 +19,7 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return nil, ffcall.KindUnknown, merry.New("the target switched protocols")
 	}
-	if !isDelimited(resp) {
+	if !ffhead.IsDelimited(resp) {
 		return nil, ffcall.KindTruncated, merry.New("the response body is not delimited")
 	}
 	content, err := c.readLimited(io.LimitReader(resp.Body, c.settings.MaxReplyBytes+1))
@@ -59,12 +60,6 @@
 	}
 }
 
-// isDelimited reports whether a truncated body can be detected: the response gives
-// its length, is chunked or has no body.
-func isDelimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
-}
-
 // shedError returns the error for a call that the target did not run.
 func shedError(resp *http.Response) *ffcall.Error {
 	failure := ffcall.Refuse("call target", ffcall.KindOverload, merry.New("the target shed the call"))
--- a/pkg/ffclient/client.go
+++ b/pkg/ffclient/client.go
@@ -71,7 +71,7 @@
 	if err := ffhead.CheckResponse(response); err != nil {
 		return nil, &Error{Op: "read answer", Kind: KindTransport, Outcome: OutcomeUnknown, Err: err}
 	}
-	body, err := c.readBody(response.Body)
+	body, err := c.readBody(response)
 	if err != nil {
 		return nil, &Error{Op: "read answer", Kind: KindTransport, Outcome: OutcomeUnknown, Err: err}
 	}
@@ -83,10 +83,14 @@
 	return a, nil
 }
 
-// readBody reads an answer's body, which may have at most MaxAnswerBytes.
-func (c *Client) readBody(r io.Reader) ([]byte, error) {
+// readBody reads an answer's body, which may have at most MaxAnswerBytes. Daemons always send
+// it so that its end can be told from that of the connection.
+func (c *Client) readBody(response *http.Response) ([]byte, error) {
+	if !ffhead.IsDelimited(response) {
+		return nil, merry.New("the body is not delimited")
+	}
 	limit := cmp.Or(c.MaxAnswerBytes, defaultMaxAnswerBytes)
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
 		err = merry.Errorf("the body exceeds %d bytes", limit)
 	}
