A response that ends with its connection breaks off with a reset

What callers saw: a client of HTTP/1.0 got a part of a response, after which its target broke off, as all of it. Found by looking at what becomes of an answer that the entry knows to be broken.

Cause: such a client has no chunks; the end of a body without a length is the end of the connection. The server of the clients' port closed the connection regularly in both cases.

Change: while such a response is incomplete, the connection is closed with a reset. Responses with a length or in chunks, and whole ones, end as before.

--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -44,6 +44,8 @@
 	lastChosen bool
 	// streaming reports that the response whose turn it is is sent in parts.
 	streaming bool
+	// unframed reports that a response is sent in parts whose end is that of the connection.
+	unframed bool
 	// aborted reports that the connection has been aborted.
 	aborted bool
 	// served reports that a request has been answered.
@@ -135,14 +137,25 @@
 	}
 }
 
-// abortLocked closes the connection and cancels its requests. The caller must hold mu.
+// abortLocked closes the connection and cancels its requests. It resets the connection if a
+// response is incomplete whose end would be that of the connection. The caller must hold mu.
 func (c *conn) abortLocked() {
 	c.aborted = true
+	if tcp, ok := c.net.(*net.TCPConn); ok && c.unframed {
+		_ = tcp.SetLinger(0)
+	}
 	c.cancel()
 	c.changed.Broadcast()
 	_ = c.net.Close()
 }
 
+// setUnframed records whether such a response is incomplete.
+func (c *conn) setUnframed(unframed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unframed = unframed
+}
+
 func (c *conn) abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ffpipeline/writer.go
+++ b/internal/ffpipeline/writer.go
@@ -154,6 +154,7 @@
 	if w.length >= 0 && w.mayHaveBody() && w.written < w.length {
 		return &Error{Op: "answer", Kind: KindLength, Err: merry.Errorf("%d of %d bytes", w.written, w.length)}
 	}
+	w.e.conn.setUnframed(false)
 	return nil
 }
 
@@ -161,6 +162,7 @@
 func (w *writer) appendHead(out *bytes.Buffer) {
 	w.sent = true
 	unframed := w.length < 0 && !w.chunked && w.mayHaveBody()
+	w.e.conn.setUnframed(unframed)
 	wanted := w.header.Get("Connection") == "close" || !w.e.request.ProtoAtLeast(1, 1) || !w.e.body.done() || unframed
 	w.header.Del("Connection")
 	if w.e.conn.decideLast(w.e, wanted || w.e.request.Close) {
