A gate's reply with a status of no answer is not passed on

What callers saw: nothing yet; found by looking at the other places that read answers. While daemons of two versions run side by side, a gate without the checks on statuses tells an entry that a target answered with 101, and the client gets an empty answer with status 200.

Cause: the entry took any status in a reply. The server of the clients' port ignores one below 200 and then writes its default, 200.

Change: a reply that ran must have a status from 200 to 999, as in ffcaller. Otherwise its outcome is unknown and the client gets 502.

Evidence: TestStatusOfReply, without the change: "status 101: ran none", the same for -1, 99, 199 and 1000. With it it passes.

Measured: go test of ffmeshpeer passes.

--- a/internal/ffmeshpeer/call_test.go
+++ b/internal/ffmeshpeer/call_test.go
@@ -1,6 +1,7 @@
 package ffmeshpeer_test
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -13,12 +14,15 @@
 	"fireflyfall.dev/fireflyfall/internal/ffroute"
 )
 
-// fakeGate runs every call and records the last one.
-type fakeGate struct{ last *ffmesh.Call }
+// fakeGate runs every call, answers it with status, 200 if that is 0, and records the last one.
+type fakeGate struct {
+	last   *ffmesh.Call
+	status int
+}
 
 func (g *fakeGate) Do(_ context.Context, c *ffmesh.Call) *ffmesh.Reply {
 	g.last = c
-	return &ffmesh.Reply{Outcome: ffmesh.OutcomeRan, Arrived: true, Status: http.StatusOK, Header: http.Header{}, Load: ffmesh.Load{Target: "t", Failing: 0.5}}
+	return &ffmesh.Reply{Outcome: ffmesh.OutcomeRan, Arrived: true, Status: cmp.Or(g.status, http.StatusOK), Header: http.Header{}, Load: ffmesh.Load{Target: "t", Failing: 0.5}}
 }
 
 func (*fakeGate) Refusal(*ffmesh.Call) *ffmesh.Reply { return nil }
@@ -99,3 +103,24 @@
 		}
 	}
 }
+
+// TestStatusOfReply guards against a reply of a gate with a status that is none of an answer,
+// in place of which a client gets another one.
+func TestStatusOfReply(t *testing.T) {
+	g := &fakeGate{}
+	gate := serve(t, g, nil)
+	for status, want := range map[int]ffmesh.Outcome{
+		-1: ffmesh.OutcomeUnknown, 99: ffmesh.OutcomeUnknown, 101: ffmesh.OutcomeUnknown, 199: ffmesh.OutcomeUnknown,
+		200: ffmesh.OutcomeRan, 503: ffmesh.OutcomeRan, 999: ffmesh.OutcomeRan, 1000: ffmesh.OutcomeUnknown,
+	} {
+		g.status = status
+		now := time.Now()
+		c := &ffmesh.Call{
+			ID: "a", Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}, Service: "s",
+			Kind: ffroute.KindSafe, Deadline: now.Add(time.Second), Objective: now.Add(time.Second), Received: now,
+		}
+		if reply := gate.Do(t.Context(), c); reply.Outcome != want || !reply.Arrived {
+			t.Errorf("status %d: %v %v", status, reply.Outcome, reply.Reason)
+		}
+	}
+}
--- a/internal/ffmeshpeer/client.go
+++ b/internal/ffmeshpeer/client.go
@@ -141,7 +141,11 @@
 // returned as a stream.
 func (r remoteGate) readReply(ctx context.Context, c *ffmesh.Call, pool *ffhop.Pool, e *ffhop.Exchange, resp *http.Response) *ffmesh.Reply {
 	var head replyHead
-	if err := decode(resp.Header.Get(replyHeader), &head); err != nil {
+	err := decode(resp.Header.Get(replyHeader), &head)
+	if err == nil {
+		err = head.check()
+	}
+	if err != nil {
 		e.Abort()
 		return r.failedReply(ctx, c, ffmesh.OutcomeUnknown, ffmesh.ReasonInvalidAnswer, err)
 	}
--- a/internal/ffmeshpeer/head.go
+++ b/internal/ffmeshpeer/head.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"fireflyfall.dev/fireflyfall/internal/ffmesh"
@@ -87,6 +88,20 @@
 	})
 }
 
+// minStatus and maxStatus are the range of statuses that an answer of a target may have.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
+// check returns an error if h describes an answer with a status that no answer may have.
+func (h replyHead) check() error {
+	if h.Outcome == ffmesh.OutcomeRan && (h.Status < minStatus || h.Status > maxStatus) {
+		return merry.Errorf("status %d", h.Status)
+	}
+	return nil
+}
+
 // reply returns the reply that h describes, without its headers and body.
 func (h replyHead) reply() *ffmesh.Reply {
 	return &ffmesh.Reply{
