--- a/internal/ffhead/response.go
+++ b/internal/ffhead/response.go
@@ -6,8 +6,8 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// CheckResponse returns an error if the head of a response is not valid. That of an interim
-// one is, but not 101, since no request asks for another protocol.
+// CheckResponse returns an error if the head of a response is not valid. Interim statuses are
+// valid but for 101, since no request asks for another protocol.
 func CheckResponse(resp *http.Response) error {
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
 		return &Error{Op: "check a response", Kind: KindStatus, Err: merry.Errorf("%q", resp.Status)}
--- a/internal/ffhop/unframed.go
+++ b/internal/ffhop/unframed.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+
+	"fireflyfall.dev/fireflyfall/internal/ffhead"
 )
 
 // unframedBody is the body of a response that ends with its connection. It ends with io.EOF
@@ -14,7 +16,7 @@
 
 // checkEnd makes the body of a response without a length report a connection that failed.
 func (e *Exchange) checkEnd(resp *http.Response) *http.Response {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if !ffhead.IsDelimited(resp) {
 		resp.Body = unframedBody{ReadCloser: resp.Body, e: e}
 	}
 	return resp
--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -44,7 +44,7 @@
 	lastChosen bool
 	// streaming reports that the response whose turn it is is sent in parts.
 	streaming bool
-	// unframed reports that a response is sent in parts whose end is that of the connection.
+	// unframed reports that a response is incomplete whose end will be that of the connection.
 	unframed bool
 	// aborted reports that the connection has been aborted.
 	aborted bool
@@ -149,7 +149,7 @@
 	_ = c.net.Close()
 }
 
-// setUnframed records whether such a response is incomplete.
+// setUnframed records whether a response is incomplete whose end will be that of c.
 func (c *conn) setUnframed(unframed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
