Tests of broken answers: the stand-ins read the head of the request first

Cause: the test. Its server answered and reset the connection before it had read anything. If the reset came before the client had sent a byte, notRun was the truth, and the test wanted "unknown".

Change: the servers of this test, of fftarget TestReplyResetDuringUpload and of ffhop TestEarlyResponse answer once they have read the head of a request. The first two then want the outcome "unknown" in every case; fftarget's accepted notRun before.

--- a/internal/ffhop/earlyresponse_test.go
+++ b/internal/ffhop/earlyresponse_test.go
@@ -1,6 +1,7 @@
 package ffhop
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -15,8 +16,8 @@
 // settleTime is the time after which a peer's close of the connection has arrived.
 const settleTime = 100 * time.Millisecond
 
-// startEarlyPeer starts a server that sends partialResponse on one connection before it reads
-// anything, and then ends the connection with end.
+// startEarlyPeer starts a server that reads the head of one request, sends partialResponse and
+// then ends the connection with end.
 func startEarlyPeer(t *testing.T, end func(*net.TCPConn)) *Pool {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -30,6 +31,9 @@
 			return
 		}
 		t.Cleanup(func() { _ = c.Close() })
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
 		_, _ = io.WriteString(c, partialResponse)
 		<-time.After(settleTime)
 		end(c.(*net.TCPConn))
--- a/internal/fftarget/reset_test.go
+++ b/internal/fftarget/reset_test.go
@@ -1,9 +1,11 @@
 package fftarget_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -27,7 +29,9 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			}
 			<-time.After(n * 100 * time.Microsecond)
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
@@ -37,7 +41,7 @@
 	body := strings.Repeat("b", uploadBytes)
 	for i := range calls {
 		reply, err := client.Do(t.Context(), newCall(fmt.Sprint("call", i), "", body))
-		if err == nil || ffcall.OutcomeOf(err) == ffcall.OutcomeRan {
+		if err == nil || ffcall.OutcomeOf(err) != ffcall.OutcomeUnknown {
 			t.Errorf("call %d: reply %+v, error %v", i, reply, err)
 		}
 	}
--- a/pkg/ffclient/broken_test.go
+++ b/pkg/ffclient/broken_test.go
@@ -1,6 +1,7 @@
 package ffclient_test
 
 import (
+	"bufio"
 	"bytes"
 	"compress/gzip"
 	"errors"
@@ -15,8 +16,8 @@
 	"fireflyfall.dev/fireflyfall/pkg/ffclient"
 )
 
-// serveRaw starts a server that sends answer on each connection and resets it after pause. It
-// returns the server's address.
+// serveRaw starts a server that sends answer on each connection once it has read the head of a
+// request, and resets the connection after pause. It returns the server's address.
 func serveRaw(t *testing.T, answer string, pause time.Duration) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -30,7 +31,9 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.WriteString(c, answer)
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, answer)
+			}
 			<-time.After(pause)
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
