--- a/internal/ffbody/error.go
+++ b/internal/ffbody/error.go
@@ -7,7 +7,8 @@
 
 // Kinds of errors.
 const (
-	KindOpened Kind = iota // opened
+	KindOpened   Kind = iota // opened
+	KindNotBegun             // notBegun
 )
 
 // Error is an error of this package.
@@ -15,7 +16,18 @@
 	// Op is the operation that failed.
 	Op   string
 	Kind Kind
+	// Err is the cause; nil if the kind tells it.
+	Err error
 }
 
-// Error implements error.
-func (e *Error) Error() string { return "ffbody: " + e.Op + ": " + e.Kind.String() }
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string {
+	text := "ffbody: " + e.Op + ": " + e.Kind.String()
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- a/internal/ffbody/kind_string.go
+++ b/internal/ffbody/kind_string.go
@@ -9,11 +9,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[KindOpened-0]
+	_ = x[KindNotBegun-1]
 }
 
-const _Kind_name = "opened"
+const _Kind_name = "openednotBegun"
 
-var _Kind_index = [...]uint8{0, 6}
+var _Kind_index = [...]uint8{0, 6, 14}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/ffbody/stream_test.go
+++ b/internal/ffbody/stream_test.go
@@ -1,12 +1,14 @@
 package ffbody_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 
 	"fireflyfall.dev/fireflyfall/internal/ffbody"
 )
@@ -22,7 +24,7 @@
 	var wg sync.WaitGroup
 	for range receivers {
 		wg.Go(func() {
-			r, err := s.Open()
+			r, err := s.Open(t.Context())
 			var failed *ffbody.Error
 			if errors.As(err, &failed) && failed.Kind == ffbody.KindOpened {
 				return
@@ -38,3 +40,42 @@
 		t.Errorf("%d receivers got the body, opened %v", n, s.Opened())
 	}
 }
+
+// TestAwaitBody guards against a body that is taken for begun although its sender sent none of
+// it, and against one that is no more whole after the wait for it.
+func TestAwaitBody(t *testing.T) {
+	silent, w := io.Pipe()
+	defer func() { _ = w.Close() }()
+	ended, end := context.WithCancel(t.Context())
+	end()
+	for name, tc := range map[string]struct {
+		ctx  context.Context
+		body io.Reader
+		want string
+	}{
+		"begun":    {t.Context(), io.MultiReader(strings.NewReader("a"), strings.NewReader("b")), "ab"},
+		"silent":   {ended, silent, ""},
+		"failed":   {t.Context(), iotest.ErrReader(io.ErrUnexpectedEOF), ""},
+		"no bytes": {t.Context(), strings.NewReader(""), ""},
+		"panic":    {t.Context(), nil, ""},
+	} {
+		s := ffbody.NewStream(tc.body)
+		var failed *ffbody.Error
+		if err := s.Await(tc.ctx); tc.want == "" && (!errors.As(err, &failed) || failed.Kind != ffbody.KindNotBegun) || tc.want != "" && err != nil {
+			t.Errorf("%s: awaited with %v", name, err)
+		}
+		if s.Opened() {
+			t.Errorf("%s: opened by the wait", name)
+		}
+		r, err := s.Open(tc.ctx)
+		if tc.want == "" {
+			if err == nil || !s.Opened() {
+				t.Errorf("%s: opened without a byte", name)
+			}
+			continue
+		}
+		if b, err := io.ReadAll(r); err != nil || string(b) != tc.want {
+			t.Errorf("%s: got %q, %v", name, b, err)
+		}
+	}
+}
--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -36,8 +36,8 @@
 	onSilent          func()
 }
 
-// Start sends a request. A long body is sent in the background. On error the
-// connection is closed. After KindUnsent and KindUnacked the peer has not received
+// Start sends a request. A long body is sent in the background, and nothing is sent of a
+// request whose streamed body has not begun. On error the connection is closed. After KindUnsent and KindUnacked the peer has not received
 // the whole request and never will.
 func (c *Conn) Start(ctx context.Context, r *Request) (*Exchange, error) {
 	e := &Exchange{conn: c, ctx: ctx, method: r.Method, release: c.interruptOnDone(ctx)}
@@ -45,7 +45,7 @@
 	if r.ContinueTimeout > 0 {
 		return e.startExpectContinue(r)
 	}
-	body, err := r.openStream()
+	body, err := r.openStream(ctx)
 	if err != nil {
 		return nil, e.fail("open the body", err)
 	}
@@ -98,7 +98,7 @@
 		}
 		return e, nil
 	}
-	body, err := r.openStream()
+	body, err := r.openStream(e.ctx)
 	if err != nil {
 		return nil, e.failUnacked(err)
 	}
--- a/internal/ffhop/request.go
+++ b/internal/ffhop/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,12 +36,13 @@
 	OnFirstByteTimeout func()
 }
 
-// openStream returns the reader of a streamed body, or nil if the body is in memory.
-func (r *Request) openStream() (io.Reader, error) {
+// openStream waits until a streamed body has begun and returns its reader, or nil if the body
+// is in memory.
+func (r *Request) openStream(ctx context.Context) (io.Reader, error) {
 	if r.Stream == nil {
 		return nil, nil
 	}
-	return r.Stream.Open()
+	return r.Stream.Open(ctx)
 }
 
 func (r *Request) encodeHead() *bytes.Buffer {
--- a/internal/ffinbound/send.go
+++ b/internal/ffinbound/send.go
@@ -54,13 +54,35 @@
 	return nil
 }
 
+// awaitBody waits until the body of a call that can be sent only once has begun. Until then
+// its sender may give up and promise that the call never runs. A call that cannot run is
+// refused before its body is asked for.
+func (g *Gate) awaitBody(ctx context.Context, c *ffmesh.Call) *ffmesh.Reply {
+	if c.Stream == nil {
+		return nil
+	}
+	if refusal := g.checkConnection(ctx, c); refusal != nil {
+		return refusal
+	}
+	if _, refusal := g.checkTarget(c); refusal != nil {
+		return g.logRefusal(c, refusal)
+	}
+	if err := c.Stream.Await(ctx); err != nil {
+		return g.notSent(ctx, c, ffmesh.ReasonCanceled, err)
+	}
+	return nil
+}
+
 // send sends a call to the target and returns its reply.
 func (g *Gate) send(ctx context.Context, c *ffmesh.Call, t fffleet.Target) *ffmesh.Reply {
+	if refusal := g.awaitBody(ctx, c); refusal != nil {
+		return refusal
+	}
 	conn, err := g.Pool.Get(ctx, maxIdle(c))
 	if err != nil {
 		return g.notSent(ctx, c, ffmesh.ReasonConnect, err)
 	}
-	// The target may have left while the call waited for its slot or its connection.
+	// The target may have left while the call waited for its slot, body or connection.
 	if _, refusal := g.checkTarget(c); refusal != nil {
 		conn.Close()
 		return g.logRefusal(c, refusal)
