--- a/internal/ffinbound/slots.go
+++ b/internal/ffinbound/slots.go
@@ -75,10 +75,15 @@
 	defer objectiveTimer.Stop()
 	deadlineTimer := time.NewTimer(time.Until(w.deadline.Add(-w.expected / 2)))
 	defer deadlineTimer.Stop()
+	alive := newAliveTimer(c)
+	defer alive.Stop()
 	for waiting := true; waiting; {
 		select {
 		case ok := <-w.granted:
 			return g.waitResult(c, ok)
+		case <-alive.C:
+			alive.Reset(keepAliveInterval)
+			c.OnWait()
 		case <-objectiveTimer.C:
 			if g.removeWaiting(w, true) {
 				return g.waitResult(c, false)
@@ -98,6 +103,16 @@
 	return newRefusal(ffmesh.ReasonCanceled, 0)
 }
 
+// newAliveTimer returns a timer that fires at once for a call whose sender needs to know
+// that it waits, and never for others.
+func newAliveTimer(c *ffmesh.Call) *time.Timer {
+	alive := time.NewTimer(0)
+	if c.OnWait == nil {
+		alive.Stop()
+	}
+	return alive
+}
+
 // removeWaiting removes a call from the queue and reports whether it did. With
 // ifCongested it removes the call only from a congested queue.
 func (g *Gate) removeWaiting(w *waiter, ifCongested bool) bool {
--- a/internal/ffmesh/call.go
+++ b/internal/ffmesh/call.go
@@ -50,6 +50,9 @@
 	// it is set, the body is sent together with the headers; if nil, only after the
 	// gate has asked for it (100 Continue).
 	OnSilence func()
+	// OnWait is called regularly while the call waits for a slot, in the goroutine that
+	// runs it; nil if nobody needs to know.
+	OnWait func()
 }
 
 // longBody is the length in bytes from which a body takes a notable time to
--- a/internal/ffmeshpeer/server.go
+++ b/internal/ffmeshpeer/server.go
@@ -31,7 +31,8 @@
 }
 
 // ServeHTTP runs one call. Interim 102 responses acknowledge a call that was sent
-// with its body, and extend the wait of a sender whose body cannot be received yet.
+// with its body, and extend the wait of a sender whose body cannot be received yet, be it
+// for the link or for a slot.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var head callHead
 	if err := decode(r.Header.Get(callHeader), &head); err != nil {
@@ -58,7 +59,10 @@
 		return
 	}
 	defer release()
-	done, refusal := h.Gate.AdmitBody(r.Context(), c, func() { w.WriteHeader(http.StatusProcessing) })
+	// The sender takes a gate for dead that says nothing before it asks for the body. If the
+	// sender has left, this ends the call's context.
+	alive := func() { w.WriteHeader(http.StatusProcessing) }
+	done, refusal := h.Gate.AdmitBody(r.Context(), c, alive)
 	if refusal != nil {
 		h.writeReply(w, c, refusal)
 		return
@@ -67,6 +71,8 @@
 	h.readBody(r, c)
 	if c.Stream == nil {
 		done()
+	} else {
+		c.OnWait = alive
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
