--- a/internal/ffhop/earlyresponse_test.go
+++ b/internal/ffhop/earlyresponse_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffbody"
 )
 
 // partialResponse is the beginning of a response without a length.
@@ -16,9 +19,9 @@
 // settleTime is the time after which a peer's close of the connection has arrived.
 const settleTime = 100 * time.Millisecond
 
-// startEarlyPeer starts a server that reads the head of one request, sends partialResponse and
+// startEarlyPeer starts a server that reads the head of one request, sends a response and
 // then ends the connection with end.
-func startEarlyPeer(t *testing.T, end func(*net.TCPConn)) *Pool {
+func startEarlyPeer(t *testing.T, response string, end func(*net.TCPConn)) *Pool {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -34,7 +37,7 @@
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
-		_, _ = io.WriteString(c, partialResponse)
+		_, _ = io.WriteString(c, response)
 		<-time.After(settleTime)
 		end(c.(*net.TCPConn))
 	}()
@@ -75,7 +78,7 @@
 		for _, late := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s late=%v", name, late), func(t *testing.T) {
 				t.Parallel()
-				conn, err := startEarlyPeer(t, tc.end).Get(t.Context(), time.Second)
+				conn, err := startEarlyPeer(t, partialResponse, tc.end).Get(t.Context(), time.Second)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -99,3 +102,33 @@
 		}
 	}
 }
+
+// TestEarlyResponseLost guards against the loss of a complete response that came while the
+// request's body was sent, as the sending then met the end of the connection.
+func TestEarlyResponseLost(t *testing.T) {
+	t.Parallel()
+	const length = 64 << 20
+	for name, tc := range endings() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn, err := startEarlyPeer(t, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", tc.end).Get(t.Context(), time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body := ffbody.NewStream(bytes.NewReader(make([]byte, length)))
+			e, err := conn.Start(t.Context(), &Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Stream: body, Length: length})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer e.Abort()
+			<-time.After(3 * settleTime)
+			resp, err := e.Receive()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "part" {
+				t.Errorf("got %q, %v", body, err)
+			}
+		})
+	}
+}
--- a/internal/ffhop/sendbody.go
+++ b/internal/ffhop/sendbody.go
@@ -21,8 +21,9 @@
 	go e.writeBody(r, stream)
 }
 
-// writeBody sends the body of a request, which is that of stream unless stream is nil, and
-// closes the connection if the stream or the sending of it fails.
+// writeBody sends the body of a request, which is that of stream unless stream is nil. It
+// closes the connection if the stream fails, but not if the sending does: the response may
+// have come before that, and is still to be read.
 func (e *Exchange) writeBody(r *Request, stream io.Reader) {
 	if stream == nil {
 		_, err := e.sender.Write(r.Body)
@@ -31,7 +32,7 @@
 	}
 	err := e.sendStream(stream, r.Length)
 	e.bodyResult <- err
-	if err != nil {
+	if err != nil && !e.sender.failed() {
 		e.conn.Close()
 	}
 }
--- a/internal/ffhop/sender.go
+++ b/internal/ffhop/sender.go
@@ -29,6 +29,13 @@
 	return n, err
 }
 
+// failed reports whether a write has failed.
+func (s *sender) failed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err != nil
+}
+
 // stop ends the sending, and returns why the connection has failed if that was reported to a
 // write. syscall.EPIPE is no such failure: it follows a regular end of what the peer sends.
 func (s *sender) stop() error {
