--- a/internal/ffmeshsoak/client.go
+++ b/internal/ffmeshsoak/client.go
@@ -23,12 +23,12 @@
 	// failurePause is added to the pause after a request without a complete response.
 	failurePause = 40 * time.Millisecond
 	// uploadBytes is the body size of an upload, in bytes, and streamedBytes that of one
-	// which is sent in chunks and which daemons do not hold in memory.
+	// which daemons do not hold in memory. Every other one of these is sent in chunks.
 	uploadBytes   = 40 << 10
-	streamedBytes = ffmesh.MaxBufferedBody
+	streamedBytes = ffmesh.MaxBufferedBody + 1
 	// One request in versionOneIn uses the route of the latest version, one in onceOneIn
 	// of the others must run at most once, and one in longOneIn of those is an upload, of
-	// which one in streamedOneIn is sent in chunks.
+	// which one in streamedOneIn has streamedBytes.
 	onceOneIn, longOneIn, streamedOneIn, versionOneIn = 3, 9, 3, 8
 	// One of the other requests in longAnswerOneIn gets a long answer, and the clients of
 	// one in leaveOneIn of these leave within maxStay.
@@ -92,7 +92,7 @@
 		if c.rand.IntN(longOneIn) == 0 {
 			r.body = strings.Repeat(a.ID, uploadBytes/len(a.ID))
 			if c.lengths.IntN(streamedOneIn) == 0 {
-				r.body, r.chunked = strings.Repeat(a.ID, streamedBytes/len(a.ID)+1)[:streamedBytes], true
+				r.body, r.chunked = strings.Repeat(a.ID, streamedBytes/len(a.ID)+1)[:streamedBytes], c.sent%2 == 0
 			}
 		}
 	case c.lengths.IntN(longAnswerOneIn) == 0:
--- a/internal/ffmeshsoak/fleet.go
+++ b/internal/ffmeshsoak/fleet.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fireflyfall.dev/fireflyfall/internal/ffprocess"
 	"fireflyfall.dev/fireflyfall/internal/ffrelay"
 	"fireflyfall.dev/fireflyfall/platform"
@@ -124,6 +126,12 @@
 	return b
 }
 
+// eager reports whether a target runs and answers a request before it reads the body: every
+// second one with the length of a body that daemons do not hold in memory.
+func eager(r *http.Request) bool {
+	return r.ContentLength == streamedBytes && xxhash.Sum64String(ffstandin.AttemptID(r.Header))%2 == 0
+}
+
 func (f *fleet) setBehaviour(b func(*http.Request) ffstandin.Behaviour) { f.behaviour.Store(&b) }
 
 // Indexes of the ports, which are the same on all VMs.
@@ -186,7 +194,7 @@
 	f.mu.Lock()
 	f.started++
 	id := fmt.Sprint("i-", v.config.Name, "-", f.started)
-	t := &ffstandin.Target{ID: id, Behave: func(r *http.Request) ffstandin.Behaviour { return f.behave(v, r) }}
+	t := &ffstandin.Target{ID: id, Behave: func(r *http.Request) ffstandin.Behaviour { return f.behave(v, r) }, Eager: eager}
 	f.targets = append(f.targets, startedTarget{Target: t, vm: v.index})
 	startNumber := int64(f.started)
 	f.mu.Unlock()
