--- a/internal/ffinbound/waitingupload_test.go
+++ b/internal/ffinbound/waitingupload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -91,3 +92,23 @@
 		t.Errorf("ran %v, want %v", *order, want)
 	}
 }
+
+// TestSilentUploadKeepsSlot guards against a slot, or a run, of an upload of which nothing comes.
+func TestSilentUploadKeepsSlot(t *testing.T) {
+	const limit = 200 * time.Millisecond
+	g, order, _ := newGate(t, 1, 0)
+	entry := connect(t, g)
+	silent, w := io.Pipe()
+	defer func() { _ = w.Close() }()
+	c := newStreamedUpload("upload")
+	c.Stream, c.Deadline = ffbody.NewStream(silent), time.Now().Add(limit)
+	ctx, cancel := context.WithDeadline(t.Context(), c.Deadline)
+	defer cancel()
+	if r := entry.Do(ctx, c); r.Outcome != ffmesh.OutcomeNotRun {
+		t.Errorf("%v %v", r.Outcome, r.Reason)
+	}
+	awaitFreeSlots(t, g)
+	if len(*order) > 0 {
+		t.Errorf("ran %v", *order)
+	}
+}
