--- a/internal/ffhop/exchange.go
+++ b/internal/ffhop/exchange.go
@@ -37,8 +37,8 @@
 }
 
 // Start sends a request. A long body is sent in the background, and nothing is sent of a
-// request whose streamed body has not begun. On error the connection is closed. After KindUnsent and KindUnacked the peer has not received
-// the whole request and never will.
+// request whose streamed body has not begun. On error the connection is closed. After
+// KindUnsent and KindUnacked the peer has not received the whole request and never will.
 func (c *Conn) Start(ctx context.Context, r *Request) (*Exchange, error) {
 	e := &Exchange{conn: c, ctx: ctx, method: r.Method, release: c.interruptOnDone(ctx)}
 	c.head.begin()
