--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -29,6 +29,12 @@
 	exitNotRun = 2
 )
 
+// program is that of the deploy file, from the repository's root.
+const program = "target/fireflyfall"
+
+// maxTime is the longest time that a case may take.
+const maxTime = 100 * time.Second
+
 // record is the file record.txt of the case.
 type record struct {
 	mu    sync.Mutex
@@ -57,9 +63,10 @@
 
 // rig is a deployment on loopback.
 type rig struct {
-	rec     *record
-	dir     string
-	program string
+	rec *record
+	dir string
+	// root is that of the repository, in which the daemons start.
+	root    string
 	store   ffstandin.Store
 	storeLn net.Listener
 	// storeHandler serves the store; the default is the store itself.
@@ -69,7 +76,6 @@
 	handle       func(w *worker, r *request) answer
 	trouble      bool
 	graceS       int
-	idles        atomic.Int64
 }
 
 type vm struct {
@@ -90,8 +96,14 @@
 // newRig starts the store and the workers. configuration writes the configuration.
 func newRig(rec *record, specs []vmSpec, handle func(w *worker, r *request) answer) (*rig, error) {
 	g := &rig{rec: rec, handle: handle, graceS: 6, trouble: os.Getenv("TROUBLE") != "0"}
-	g.program = os.Getenv("FIREFLYFALL")
-	var err error
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		return nil, err
+	}
+	g.root = root
+	if _, err := os.Stat(filepath.Join(root, program)); err != nil {
+		return nil, err
+	}
 	if g.dir, err = os.MkdirTemp("", "review-3-"); err != nil {
 		return nil, err
 	}
@@ -212,12 +224,16 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(v.rig.program, "mesh")
+	cmd := exec.Command(filepath.Join(v.rig.root, program), "mesh")
+	cmd.Dir = v.rig.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + v.rig.dir, "FIREFLYFALL_SETTINGS=" + v.path}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	startedMu.Lock()
+	started = append(started, cmd.Process)
+	startedMu.Unlock()
 	v.process, v.exited = cmd, make(chan struct{})
 	v.started++
 	done := v.exited
@@ -230,6 +246,20 @@
 	return nil
 }
 
+var (
+	startedMu sync.Mutex
+	started   []*os.Process
+)
+
+// killAll ends all processes that this one has started.
+func killAll() {
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	for _, p := range started {
+		_ = p.Kill()
+	}
+}
+
 func (v *vm) signal(s syscall.Signal) {
 	v.rig.rec.logf("daemon %d gets %v", v.index, s)
 	_ = v.process.Process.Signal(s)
@@ -511,7 +541,10 @@
 		fmt.Fprintln(os.Stderr, "usage: review-3-rig CASE")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*record) int{"slowstop": slowStop, "left": left}
+	cases := map[string]func(*record) int{
+		"early": early, "slowread": slowRead, "slowstop": slowStop,
+		"left-reset": leftReset, "left-pipelined": leftPipelined,
+	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
@@ -522,5 +555,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(&record{file: f, start: time.Now()}))
+	rec := &record{file: f, start: time.Now()}
+	time.AfterFunc(maxTime, func() {
+		rec.say("not run: it takes too long")
+		killAll()
+		os.Exit(exitNotRun)
+	})
+	os.Exit(run(rec))
 }
