--- a/review/_rig3/left.go
+++ b/review/_rig3/left.go
@@ -68,6 +68,7 @@
 	for i := range how.staying {
 		wg.Go(func() {
 			id := attemptID()
+			rec.logf("staying consumer %d sends %s", i, id)
 			status, err := get(g.vms[i%len(g.vms)].callers(), "/list/a", id, leftTimeout)
 			rec.logf("staying consumer %d got %d %v for %s", i, status, err, id)
 		})
@@ -134,6 +135,7 @@
 		ids = append(ids, id)
 		text.WriteString(requestText(how.method, path, id, leftTimeout, body, lines...))
 	}
+	rec.logf("consumer sends %s %s, %v", how.method, path, ids)
 	_, _ = io.WriteString(c, text.String())
 	if leaves {
 		time.Sleep(leaveAfter)
