--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -542,7 +542,7 @@
 		os.Exit(exitNotRun)
 	}
 	cases := map[string]func(*record) int{
-		"early": early, "slowread": slowRead, "slowstop": slowStop,
+		"early": early, "oldchunks": oldChunks, "slowstop": slowStop,
 		"left-reset": leftReset, "left-pipelined": leftPipelined,
 	}
 	run, ok := cases[os.Args[1]]
