--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,8 +18,6 @@
 	"syscall"
 	"time"
 
-	"math/rand/v2"
-
 	"fireflyfall.dev/fireflyfall/platform/ffstandin"
 )
 
