A connection that is closed before its responses are received is logged

Three causes were possible, and the logs could not tell them apart: the end of the time for which a connection is read after its last response, the closing of idle connections with the client port, and the end of the process.

Change: the daemon asks the kernel how many bytes the client's system has not acknowledged when that time ends, and logs their number if there are any.

No behaviour changes here.

--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -301,6 +301,15 @@
 	c.setReadDeadline(true, lingerTime)
 	<-watched
 	_, _ = io.Copy(io.Discard, c.net)
+	c.logUnreceived()
+}
+
+// logUnreceived logs that c is about to be closed before the client has received all
+// responses.
+func (c *conn) logUnreceived() {
+	if n := unreceived(c.net); n > 0 {
+		c.server.Log.Warn().Str("client", c.net.RemoteAddr().String()).Int("bytes", n).Msg("closing a connection on which responses are not received")
+	}
 }
 
 // answered removes e from the head of the queue and lets the next request send its
