--- a/internal/ffpipeline/accept_test.go
+++ b/internal/ffpipeline/accept_test.go
@@ -28,16 +28,23 @@
 }
 
 // TestNoDescriptorsLeft guards against a server that ends, and its process with all other
-// requests, when a connection cannot be accepted. Idle connections are given up for new ones.
+// requests, when a connection cannot be accepted. Idle connections are given up for new ones,
+// and those that clients keep open behind their last response.
 func TestNoDescriptorsLeft(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := &shortListener{Listener: inner}
-	s := &ffpipeline.Server{Handler: &handler{}}
+	h := &handler{}
+	s := &ffpipeline.Server{Handler: h}
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
+	kept := dial(t, inner.Addr().String())
+	h.closing.Store(true)
+	send(t, kept, get("/"))
+	receive(t, bufio.NewReader(kept))
+	h.closing.Store(false)
 	idle := dial(t, inner.Addr().String())
 	send(t, idle, get("/"))
 	idleReader := bufio.NewReader(idle)
@@ -53,6 +60,10 @@
 	if _, err := idleReader.ReadByte(); err == nil {
 		t.Error("an idle connection stays open")
 	}
+	waitFor(t, func() bool {
+		_, err := kept.Write([]byte(get("/")))
+		return err != nil
+	})
 	l.short.Store(false)
 	next := dial(t, inner.Addr().String())
 	send(t, next, get("/"))
--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -17,9 +17,6 @@
 	readBufferSize = 4096
 	// maxUnanswered bounds the unanswered requests of a connection.
 	maxUnanswered = 16
-	// lingerTime bounds how long a client's data is read after the last response. Closing
-	// with unread data would send a reset, and the client could lose the response.
-	lingerTime = 500 * time.Millisecond
 	// maxUnwanted bounds the bytes that are read from a client behind its last request
 	// while it is not answered.
 	maxUnwanted = 1 << 20
@@ -53,6 +50,8 @@
 	served bool
 	// waiting reports that the reader waits for the first byte of a request.
 	waiting bool
+	// lingering reports that the last response has been sent.
+	lingering bool
 }
 
 func newConn(s *Server, n net.Conn) *conn {
@@ -130,6 +129,7 @@
 func (c *conn) handleReadError(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waiting = false
 	if c.lastChosen {
 		return
 	}
@@ -172,12 +172,14 @@
 	}
 }
 
-// closeServed does the same if a request has been answered before. The first request of a
-// new connection may be on its way.
+// closeServed does the same if a request has been answered before, as the first request of a
+// new connection may be on its way. It also closes a connection whose client has received the
+// last response and has not closed it.
 func (c *conn) closeServed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.served && c.waiting && len(c.unanswered) == 0 {
+	idle := c.served && c.waiting && len(c.unanswered) == 0
+	if idle || c.lingering && unreceived(c.net) == 0 {
 		c.abortLocked()
 	}
 }
@@ -292,26 +294,6 @@
 	}
 }
 
-// linger closes the write side and discards received data for up to lingerTime, until the
-// client disconnects.
-func (c *conn) linger(watched <-chan struct{}) {
-	if tcp, ok := c.net.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	c.setReadDeadline(true, lingerTime)
-	<-watched
-	_, _ = io.Copy(io.Discard, c.net)
-	c.logUnreceived()
-}
-
-// logUnreceived logs that c is about to be closed before the client has received all
-// responses.
-func (c *conn) logUnreceived() {
-	if n := unreceived(c.net); n > 0 {
-		c.server.Log.Warn().Str("client", c.net.RemoteAddr().String()).Int("bytes", n).Msg("closing a connection on which responses are not received")
-	}
-}
-
 // answered removes e from the head of the queue and lets the next request send its
 // response.
 func (c *conn) answered(e *exchange) {
--- /dev/null
+++ b/internal/ffpipeline/lastresponse_test.go
@@ -0,0 +1,73 @@
+package ffpipeline_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fireflyfall.dev/fireflyfall/internal/ffpipeline"
+)
+
+// smallWindow is the size of the receive buffer of a client that lets most of a response wait
+// at the server, in bytes.
+const smallWindow = 4 << 10
+
+// dialSlow connects with a receive buffer of smallWindow.
+func dialSlow(t *testing.T, address string) net.Conn {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow)
+		})
+	}}
+	c, err := d.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+// receiveLong reads n responses with longBody bytes each and then the end of the connection.
+func receiveLong(t *testing.T, r io.Reader, n int) {
+	t.Helper()
+	reader := bufio.NewReader(r)
+	for range n {
+		if _, body, _ := receive(t, reader); len(body) != longBody {
+			t.Fatalf("a response has %d bytes", len(body))
+		}
+	}
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Errorf("behind the last response: %v", err)
+	}
+}
+
+// TestLastResponseReadLate guards against responses that are lost as their connection is
+// closed before a slow client, which may still send requests, has received them (review/13).
+func TestLastResponseReadLate(t *testing.T) {
+	// late is longer than a server should assume that a client needs.
+	const late, sent = 1500 * time.Millisecond, 3
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(bytes.Repeat([]byte("l"), longBody))
+	})
+	memory := &countedMemory{}
+	memory.limit.Store(16 << 20)
+	limits := func() ffpipeline.Limits { return ffpipeline.Limits{IdleTimeout: 10 * late} }
+	s := &ffpipeline.Server{Handler: h, MayRunAhead: aheadAll, Memory: memory, Limits: limits}
+	c := dialSlow(t, serve(t, s))
+	send(t, c, strings.Repeat(get("/long"), sent))
+	for range 2 {
+		<-time.After(late / 2)
+		s.CloseIdle()
+		send(t, c, get("/next"))
+	}
+	receiveLong(t, c, sent)
+}
--- a/internal/ffpipeline/server.go
+++ b/internal/ffpipeline/server.go
@@ -15,7 +15,8 @@
 	// MaxHeaderBytes bounds the head of a request; 0 means 1 MiB.
 	MaxHeaderBytes int
 	// ReadHeaderTimeout bounds the time to receive a head; 0 means 10 seconds.
-	// IdleTimeout bounds the time without a request on a connection; 0 means no limit.
+	// IdleTimeout bounds the time without a request on a connection, and the time for which
+	// a client may receive nothing of its responses; 0 means no limit.
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
 }
