Idle connections are ended without a reset while a response is on its way

What callers saw: a client that has sent a request on a kept connection and reads its response slowly loses it, when the daemon closes that connection as an idle one (as the client port closes in a planned stop, or when no descriptors are left) and the client sends its next request.

The connection counted as idle once the response was in the socket's send buffer; closing it with the next request unread, or before that comes, resets it.

Change: CloseIdle lets such a connection linger: its write side is closed, and it is kept until the client closes it. What comes behind is not run. If descriptors are missing, only connections are closed whose clients have received everything.

--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -37,8 +37,8 @@
 	changed *sync.Cond
 	// unanswered holds the unanswered requests in the order of their arrival.
 	unanswered []*exchange
-	// lastChosen is set once a response with "Connection: close" is chosen. Later
-	// requests are not served.
+	// lastChosen is set once a response with "Connection: close" is chosen, or the last one
+	// has been sent without. Later requests are not served.
 	lastChosen bool
 	// streaming reports that the response whose turn it is is sent in parts.
 	streaming bool
@@ -163,23 +163,25 @@
 	c.abortLocked()
 }
 
-// closeIdle closes the connection if it waits for a request and none is unanswered.
+// closeIdle ends the connection if it waits for a request and none is unanswered. It lingers, as
+// the client may not have received all responses.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting && len(c.unanswered) == 0 {
-		c.abortLocked()
+		c.lastChosen = true
+		c.limitRead()
 	}
 }
 
-// closeServed does the same if a request has been answered before, as the first request of a
-// new connection may be on its way. It also closes a connection whose client has received the
-// last response and has not closed it.
+// closeServed closes the connection if it waits for another request, or for the client to close
+// it, and the client has received all responses. The first request of a new connection may be on
+// its way.
 func (c *conn) closeServed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.served && c.waiting && len(c.unanswered) == 0
-	if idle || c.lingering && unreceived(c.net) == 0 {
+	if (idle || c.lingering) && unreceived(c.net) == 0 {
 		c.abortLocked()
 	}
 }
--- a/internal/ffpipeline/lastresponse_test.go
+++ b/internal/ffpipeline/lastresponse_test.go
@@ -71,3 +71,23 @@
 	}
 	receiveLong(t, c, sent)
 }
+
+// TestIdleResponseReadLate guards against a response that is lost as its connection is closed
+// as an idle one before a slow client, which sends its next request meanwhile, has received it.
+func TestIdleResponseReadLate(t *testing.T) {
+	h := &longHandler{}
+	s := &ffpipeline.Server{Handler: h, MayRunAhead: aheadAll}
+	c := dialSlow(t, serve(t, s))
+	send(t, c, get("/long/1"))
+	waitFor(t, func() bool { return h.written.Load() == 1 })
+	<-time.After(work / 2)
+	s.CloseIdle()
+	for range 2 {
+		<-time.After(work / 2)
+		send(t, c, get("/long/2"))
+	}
+	receiveLong(t, c, 1)
+	if n := h.begun.Load(); n != 1 {
+		t.Errorf("%d requests were run", n)
+	}
+}
--- a/internal/ffpipeline/server.go
+++ b/internal/ffpipeline/server.go
@@ -112,7 +112,8 @@
 	return all
 }
 
-// CloseIdle closes the connections that wait for a request and have none unanswered.
+// CloseIdle ends the connections that wait for a request and have none unanswered. Each is closed
+// when its client closes it, or has received nothing for as long as it may be idle.
 func (s *Server) CloseIdle() {
 	for _, c := range s.open() {
 		c.closeIdle()
