A client that still receives a response is not cut off for the idle time

What callers saw: a client that takes longer for a response than the idle time of its connection, and sends its next request meanwhile, loses the rest of the response with a reset.

The idle time runs from the moment at which the response is in the socket's send buffer; at its end the connection was closed.

Change: if the client's system has not acknowledged everything then, the connection lingers as behind a last response, for as long as the client receives more of it.

Evidence: TestIdleTimeWhileReading fails on the code before ("connection reset by peer", 3 of 3).

--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"sync"
 	"time"
 )
@@ -125,7 +126,8 @@
 
 // handleReadError handles a read error after which no further request can follow. A
 // client that disconnects abandons its unanswered requests, so they are cancelled.
-// The connection is also aborted on errors other than EOF, such as the idle timeout.
+// The connection is also aborted on errors other than EOF, such as the idle timeout, unless
+// the client is still receiving responses then.
 func (c *conn) handleReadError(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -133,7 +135,8 @@
 	if c.lastChosen {
 		return
 	}
-	if len(c.unanswered) > 0 || !errors.Is(err, io.EOF) {
+	receiving := errors.Is(err, os.ErrDeadlineExceeded) && unreceived(c.net) > 0
+	if len(c.unanswered) > 0 || !errors.Is(err, io.EOF) && !receiving {
 		c.abortLocked()
 	}
 }
--- a/internal/ffpipeline/lastresponse_test.go
+++ b/internal/ffpipeline/lastresponse_test.go
@@ -91,3 +91,28 @@
 		t.Errorf("%d requests were run", n)
 	}
 }
+
+// TestIdleTimeWhileReading guards against a response that is lost as its connection has had no
+// request for the idle time, while a slow client still receives it.
+func TestIdleTimeWhileReading(t *testing.T) {
+	const idle, part = 300 * time.Millisecond, longBody / 40
+	h := &longHandler{}
+	limits := func() ffpipeline.Limits { return ffpipeline.Limits{IdleTimeout: idle} }
+	c := dialSlow(t, serve(t, &ffpipeline.Server{Handler: h, MayRunAhead: aheadAll, Limits: limits}))
+	send(t, c, get("/long/1"))
+	behind := time.AfterFunc(3*idle, func() { _, _ = io.WriteString(c, get("/long/2")) })
+	defer behind.Stop()
+	receiveLong(t, &pausingReader{r: c, part: part, pause: idle / 8}, 1)
+}
+
+// pausingReader reads parts from r and pauses before each.
+type pausingReader struct {
+	r     io.Reader
+	part  int
+	pause time.Duration
+}
+
+func (r *pausingReader) Read(p []byte) (int, error) {
+	<-time.After(r.pause)
+	return r.r.Read(p[:min(len(p), r.part)])
+}
