A planned stop waits until clients have received their responses

What callers saw: a client that still receives responses, of requests that targets have run, loses them when its daemon ends in a planned stop, seconds before it must.

A request counted as ended when its response was handed to its connection, so the daemon ended while responses were in its memory or in the socket's send buffer; the client's next request then reset the connection.

Change: once the client port is closed, the drain also waits for each connection on which a request is unanswered or a response not received. The log line "left" says on how many connections something was undelivered.

--- a/internal/ffnode/leave.go
+++ b/internal/ffnode/leave.go
@@ -30,8 +30,8 @@
 )
 
 // drain reports the daemon as not ready, closes its gate and its client port to new
-// requests, and returns when no request is in progress or the grace period, less
-// stopMargin, is over.
+// requests, and returns when no request is in progress and clients have received the
+// responses, or the grace period, less stopMargin, is over.
 func (n *Node) drain(sv *servers, ready *readyHandler) {
 	started := time.Now()
 	deadline := started.Add(n.Settings.Load().StopGrace - stopMargin)
@@ -49,7 +49,7 @@
 		if elapsed > gateOpenTime {
 			n.Gate.Close()
 		}
-		if n.Entry.InFlight() > 0 || n.Gate.Running() > 0 {
+		if n.Entry.InFlight() > 0 || n.Gate.Running() > 0 || portClosed && sv.clients.Undelivered() > 0 {
 			lastBusy = now
 		}
 		if !portClosed && (elapsed > maxPortOpenTime || now.After(stop.EndsAt) || elapsed > minUnreadyTime && now.Sub(lastBusy) > quietTime) {
@@ -65,5 +65,6 @@
 		time.Sleep(drainPollInterval)
 	}
 	n.Log.Info().Int64("open", n.Entry.InFlight()).Int("running", n.Gate.Running()).
+		Int("undelivered", sv.clients.Undelivered()).
 		Dur("elapsed", time.Since(started)).Msg("left")
 }
--- a/internal/ffpipeline/server.go
+++ b/internal/ffpipeline/server.go
@@ -120,6 +120,18 @@
 	}
 }
 
+// Undelivered returns the number of connections on which a request is unanswered or a response
+// has not been received by its client.
+func (s *Server) Undelivered() int {
+	n := 0
+	for _, c := range s.open() {
+		if c.undelivered() {
+			n++
+		}
+	}
+	return n
+}
+
 // Close closes every connection, including those with running requests, and every
 // one that is accepted later.
 func (s *Server) Close() {
--- a/internal/ffpipeline/unreceived.go
+++ b/internal/ffpipeline/unreceived.go
@@ -29,3 +29,10 @@
 	}
 	return bytes
 }
+
+// undelivered reports whether a request on c is unanswered or a response not received.
+func (c *conn) undelivered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.unanswered) > 0 || unreceived(c.net) > 0
+}
