A response that breaks off does not take the one before it along

What callers saw: of several responses on a connection one breaks off. A client that has not received the whole one before it, and sends its next request, loses that too, with a reset.

To show that a response is incomplete its connection was closed at once, also while earlier responses were in the socket's send buffer.

Change: the connection is half closed, which shows the client the same, its requests are cancelled, and it lingers as behind a last response. A response whose end is that of its connection is still broken off with a reset.

Evidence: TestBrokenResponseBehindUnreceived fails on the code before ("connection reset by peer", 2 of 2).

Measured: ffpipeline's tests twice with the race detector and platform's tests on late, pipelined and cut answers and on stops pass.

--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -45,13 +45,14 @@
 	streaming bool
 	// unframed reports that a response is incomplete whose end will be that of the connection.
 	unframed bool
-	// aborted reports that the connection has been aborted.
-	aborted bool
+	// aborted reports that the connection has been aborted, and broken that it is kept all the
+	// same until its client has received what was sent.
+	aborted, broken bool
 	// served reports that a request has been answered.
 	served bool
 	// waiting reports that the reader waits for the first byte of a request.
 	waiting bool
-	// lingering reports that the last response has been sent.
+	// lingering reports that nothing more is sent.
 	lingering bool
 }
 
@@ -132,7 +133,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
-	if c.lastChosen {
+	if c.lastChosen || c.aborted {
 		return
 	}
 	receiving := errors.Is(err, os.ErrDeadlineExceeded) && unreceived(c.net) > 0
@@ -166,6 +167,26 @@
 	c.abortLocked()
 }
 
+// breakOff ends the connection behind an incomplete response and cancels its requests. The end
+// shows the client that the response is incomplete. The connection lingers, as the client may not
+// have received the earlier ones, unless it has to be reset.
+func (c *conn) breakOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborted {
+		return
+	}
+	if c.unframed {
+		c.abortLocked()
+		return
+	}
+	c.aborted, c.broken = true, true
+	c.cancel()
+	c.changed.Broadcast()
+	c.closeWrite()
+	c.stopReading()
+}
+
 // closeIdle ends the connection if it waits for a request and none is unanswered. It lingers, as
 // the client may not have received all responses.
 func (c *conn) closeIdle() {
@@ -275,9 +296,9 @@
 	for len(c.unanswered) > 0 && !c.aborted {
 		c.changed.Wait()
 	}
-	aborted := c.aborted
+	deliver := !c.aborted || c.broken
 	c.mu.Unlock()
-	if !aborted {
+	if deliver {
 		c.linger(watched)
 	}
 	c.abort()
@@ -320,9 +341,12 @@
 // limitRead sets the idle timeout for a reader that already waits for a request,
 // or stops that reader after the last response. The caller must hold mu.
 func (c *conn) limitRead() {
-	if c.lastChosen {
-		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	if c.lastChosen || c.aborted {
+		c.stopReading()
 		return
 	}
 	c.setReadDeadline(true, c.server.limits().IdleTimeout)
 }
+
+// stopReading wakes a reader that waits for the client.
+func (c *conn) stopReading() { _ = c.net.SetReadDeadline(time.Unix(1, 0)) }
--- a/internal/ffpipeline/exchange.go
+++ b/internal/ffpipeline/exchange.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if !e.serve() || e.writer.finish() != nil {
-		e.conn.abort()
+		e.conn.breakOff()
 	}
 }
 
--- a/internal/ffpipeline/lastresponse_test.go
+++ b/internal/ffpipeline/lastresponse_test.go
@@ -116,3 +116,27 @@
 	<-time.After(r.pause)
 	return r.r.Read(p[:min(len(p), r.part)])
 }
+
+// TestBrokenResponseBehindUnreceived guards against a response that is lost as the next one
+// breaks off, and the connection is closed before a slow client has received the first.
+func TestBrokenResponseBehindUnreceived(t *testing.T) {
+	h := &longHandler{}
+	c := dialSlow(t, serve(t, &ffpipeline.Server{Handler: h}))
+	send(t, c, get("/long/1")+get("/short"))
+	waitFor(t, func() bool { return h.written.Load() == 1 })
+	for range 2 {
+		<-time.After(work / 2)
+		send(t, c, get("/next"))
+	}
+	r := bufio.NewReader(c)
+	if _, body, _ := receive(t, r); len(body) != longBody {
+		t.Errorf("the first response has %d bytes", len(body))
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != io.ErrUnexpectedEOF {
+		t.Errorf("the second response ends with %v", err)
+	}
+}
--- a/internal/ffpipeline/linger.go
+++ b/internal/ffpipeline/linger.go
@@ -13,7 +13,9 @@
 // that it has not received. It returns when the client has received nothing for as long as a
 // connection may be idle.
 func (c *conn) linger(watched <-chan struct{}) {
+	c.mu.Lock()
 	c.closeWrite()
+	c.mu.Unlock()
 	idle := c.server.limits().IdleTimeout
 	left := unreceived(c.net)
 	c.setReadDeadline(true, idle)
@@ -29,9 +31,8 @@
 	}
 }
 
+// closeWrite ends what is sent to the client. The caller must hold mu.
 func (c *conn) closeWrite() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.lingering = true
 	if tcp, ok := c.net.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
