--- a/internal/ffpipeline/conn.go
+++ b/internal/ffpipeline/conn.go
@@ -286,8 +286,9 @@
 	c.begin(refused, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
 }
 
-// drain waits until all requests are answered and closes the connection. Meanwhile
-// it discards what the client sends, to detect that the client disconnects.
+// drain waits until all requests are answered and the client has received the responses, and
+// closes the connection. Meanwhile it discards what the client sends, to detect that the client
+// disconnects.
 func (c *conn) drain() {
 	c.setReadDeadline(false, 0)
 	watched := make(chan struct{})
--- a/internal/ffpipeline/linger.go
+++ b/internal/ffpipeline/linger.go
@@ -10,8 +10,8 @@
 // linger ends a connection whose last response has been sent: it closes the write side and
 // discards what the client sends until the client closes the connection too. To close it
 // earlier would reset it if the client sends more, and the client would lose the responses
-// that it has not received. It returns when the client has received nothing for as long as a
-// connection may be idle.
+// that it has not received. It returns early when the client has received nothing more for as
+// long as a connection may be idle.
 func (c *conn) linger(watched <-chan struct{}) {
 	c.mu.Lock()
 	c.closeWrite()
