--- a/internal/ffpipeline/lastresponse_test.go
+++ b/internal/ffpipeline/lastresponse_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -54,7 +55,14 @@
 func TestLastResponseReadLate(t *testing.T) {
 	// late is longer than a server should assume that a client needs.
 	const late, sent = 1500 * time.Millisecond, 3
+	var begun atomic.Int64
+	allBegun := make(chan struct{})
 	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// The first response is the last one if no later request has begun.
+		if begun.Add(1) == sent {
+			close(allBegun)
+		}
+		<-allBegun
 		w.Header().Set("Connection", "close")
 		_, _ = w.Write(bytes.Repeat([]byte("l"), longBody))
 	})
